--- /dev/null
+++ b/admit/decision.go
@@ -0,0 +1,36 @@
+package admit
+
+// Decision is what the table decided on a request.
+type Decision int
+
+// The decisions on a request.
+const (
+	// Started means that the request holds a slot of its Target.
+	Started Decision = iota
+	// Queued means that a later decision comes over Wake.
+	Queued
+	// RefusedDepth means that too many requests of the team wait already.
+	RefusedDepth
+	// RefusedWait means that no slot came before the deadline.
+	RefusedWait
+	// RefusedLimit means that the team's limit held the request back until the deadline.
+	RefusedLimit
+	// RefusedNoTarget means that the service has no target at all.
+	RefusedNoTarget
+)
+
+// Reason returns the machine-readable reason of a refusal.
+func (d Decision) Reason() string {
+	switch d {
+	case RefusedDepth:
+		return "queueFull"
+	case RefusedWait:
+		return "noSlotInTime"
+	case RefusedLimit:
+		return "limitReached"
+	case RefusedNoTarget:
+		return "noTarget"
+	default:
+		return ""
+	}
+}
--- /dev/null
+++ b/admit/health.go
@@ -0,0 +1,37 @@
+package admit
+
+import "time"
+
+// Succeeded records that a target answered a request as it should.
+func (t *Table) Succeeded(i Target) {
+	target := &t.targets[i]
+	target.failures = 0
+	if !target.probing {
+		return
+	}
+	target.probing = false
+	target.ejects = 0
+	t.refresh(i)
+	t.timeline(Note{Target: target.name, What: "restored"})
+}
+
+// Failed records that a target failed a request, and ejects it after several in a row unless too few would remain.
+func (t *Table) Failed(i Target, now time.Time) {
+	target := &t.targets[i]
+	target.failures++
+	if target.ejected || (target.failures < failuresToEject && !target.probing) {
+		return
+	}
+	row := &t.services[target.service]
+	if (row.ejected+1)*100 > len(row.targets)*(100-keptPercent) {
+		return
+	}
+	delay := min(ejectBase<<min(target.ejects, 10), ejectMost)
+	target.ejects++
+	target.ejected = true
+	target.probing = false
+	target.until = now.Add(delay)
+	row.ejected++
+	t.refresh(i)
+	t.timeline(Note{Target: target.name, What: "ejected for " + delay.String()})
+}
--- /dev/null
+++ b/claim/errors.go
@@ -0,0 +1,29 @@
+package claim
+
+import (
+	"fmt"
+
+	"github.com/google/uuid"
+)
+
+// TakenError reports that another claim of the same request came first.
+type TakenError struct {
+	Request uuid.UUID
+	// Winner is the writer whose claim came first.
+	Winner string
+}
+
+// Error names the request and the winner.
+func (e *TakenError) Error() string {
+	return fmt.Sprintf("request %s was claimed by %s", e.Request, e.Winner)
+}
+
+// AgeError reports an identifier issued outside the time for which claims are kept.
+type AgeError struct {
+	Request uuid.UUID
+}
+
+// Error names the request.
+func (e *AgeError) Error() string {
+	return fmt.Sprintf("request %s was issued outside the claim window", e.Request)
+}
--- /dev/null
+++ b/cmds/main.go
@@ -0,0 +1,148 @@
+package cmds
+
+import (
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"sort"
+
+	"lavenderwing.example/lavenderwing/change"
+	"lavenderwing.example/lavenderwing/conf"
+)
+
+// Exit codes of every command.
+const (
+	ExitOK = 0
+	// ExitFailed means that the command could not do its work.
+	ExitFailed = 1
+	// ExitUsage means that the command line or a settings file is not acceptable.
+	ExitUsage = 2
+	// ExitConflict means that another operator's change came first.
+	ExitConflict = 3
+	// ExitRefused means that the change itself is not acceptable.
+	ExitRefused = 4
+	// ExitBroken means that a run showed a broken promise.
+	ExitBroken = 5
+)
+
+// UsageError reports a command line that cannot be understood.
+type UsageError struct {
+	Message string
+}
+
+// Error returns the message.
+func (e *UsageError) Error() string { return e.Message }
+
+// BrokenError reports promises that a run saw broken.
+type BrokenError struct {
+	Promises []string
+}
+
+// Error lists the broken promises.
+func (e *BrokenError) Error() string { return fmt.Sprintf("broken promises: %v", e.Promises) }
+
+// command is one subcommand.
+type command struct {
+	short string
+	long  string
+	flags func(c *Config, fs *flag.FlagSet)
+	run   func(c *Config, args []string) error
+}
+
+func commands() map[string]command {
+	return map[string]command{
+		"apply":    applyCmd(),
+		"entry":    entryCmd(),
+		"host":     hostCmd(),
+		"key":      keyCmd(),
+		"limit":    limitCmd(),
+		"load":     loadCmd(),
+		"pool":     poolCmd(),
+		"queue":    queueCmd(),
+		"service":  serviceCmd(),
+		"share":    shareCmd(),
+		"standin":  standinCmd(),
+		"status":   statusCmd(),
+		"team":     teamCmd(),
+		"timeline": timelineCmd(),
+	}
+}
+
+// Main runs the command line and returns the exit code.
+func Main(args []string, stdin io.Reader, stdout, stderr io.Writer) int {
+	c := newConfig(stdin, stdout, stderr)
+	err := c.execute(args)
+	if err == nil || errors.Is(err, flag.ErrHelp) {
+		return ExitOK
+	}
+	fmt.Fprintf(stderr, "lavenderwing: %v\n", err)
+	return exitCode(err)
+}
+
+func (c *Config) execute(args []string) error {
+	if len(args) == 0 || args[0] == "help" || args[0] == "-h" || args[0] == "-help" || args[0] == "--help" {
+		c.usage()
+		return nil
+	}
+	cmd, ok := commands()[args[0]]
+	if !ok {
+		return &UsageError{Message: fmt.Sprintf("no command %q; see lavenderwing help", args[0])}
+	}
+	fs := flag.NewFlagSet(args[0], flag.ContinueOnError)
+	fs.SetOutput(c.Stderr)
+	fs.Usage = func() {
+		fmt.Fprintf(c.Stderr, "%s\n\nFlags:\n", cmd.long)
+		fs.PrintDefaults()
+	}
+	c.flags = fs
+	cmd.flags(c, fs)
+	// A verb may stand before the flags, as in: team list -json.
+	var verbs []string
+	rest := args[1:]
+	for len(rest) > 0 && rest[0] != "" && rest[0][0] != '-' {
+		verbs = append(verbs, rest[0])
+		rest = rest[1:]
+	}
+	if err := fs.Parse(rest); err != nil {
+		if errors.Is(err, flag.ErrHelp) {
+			return err
+		}
+		return &UsageError{Message: err.Error()}
+	}
+	return cmd.run(c, append(verbs, fs.Args()...))
+}
+
+func (c *Config) usage() {
+	all := commands()
+	names := make([]string, 0, len(all))
+	for name := range all {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	fmt.Fprintln(c.Stdout, "Usage: lavenderwing COMMAND [VERB] [FLAGS]\n\nCommands:")
+	for _, name := range names {
+		fmt.Fprintf(c.Stdout, "  %-10s %s\n", name, all[name].short)
+	}
+	fmt.Fprintln(c.Stdout, "\nlavenderwing COMMAND -h shows a command's verbs, flags and an example.")
+	fmt.Fprintln(c.Stdout, "Exit codes: 0 done, 1 failed, 2 usage or settings, 3 another change came first, 4 change not acceptable, 5 a promise was broken.")
+}
+
+func exitCode(err error) int {
+	var usage *UsageError
+	var settings *conf.Error
+	var call *change.CallError
+	var broken *BrokenError
+	switch {
+	case errors.As(err, &usage), errors.As(err, &settings):
+		return ExitUsage
+	case errors.As(err, &broken):
+		return ExitBroken
+	case errors.As(err, &call) && call.Status == statusConflict:
+		return ExitConflict
+	case errors.As(err, &call) && call.Status == statusUnprocessable:
+		return ExitRefused
+	default:
+		return ExitFailed
+	}
+}
--- /dev/null
+++ b/cmds/main_test.go
@@ -0,0 +1,75 @@
+package cmds
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+	"github.com/valyala/fasthttp"
+)
+
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){
+		"lavenderwing": func() { os.Exit(Main(os.Args[1:], os.Stdin, os.Stdout, os.Stderr)) },
+	})
+}
+
+// scriptPorts is the number of free ports that each script gets as $P0, $P1 and so on.
+const scriptPorts = 24
+
+func TestScripts(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir: filepath.Join("testdata", "scripts"),
+		Setup: func(env *testscript.Env) error {
+			env.Setenv(tokenVariable, "example-token")
+			return setPorts(env)
+		},
+		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
+			"expand": expandFiles,
+			"await":  awaitStatus,
+		},
+	})
+}
+
+func setPorts(env *testscript.Env) error {
+	for i := range scriptPorts {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return err
+		}
+		defer l.Close()
+		_, port, err := net.SplitHostPort(l.Addr().String())
+		if err != nil {
+			return err
+		}
+		env.Setenv(fmt.Sprintf("P%d", i), port)
+	}
+	return nil
+}
+
+// expandFiles replaces variables inside files of the script.
+func expandFiles(ts *testscript.TestScript, _ bool, args []string) {
+	for _, name := range args {
+		text := os.Expand(ts.ReadFile(name), ts.Getenv)
+		ts.Check(os.WriteFile(ts.MkAbs(name), []byte(text), 0o600))
+	}
+}
+
+// awaitTries bounds how often a script asks for a status, so that a fault ends the test and slowness does not.
+const awaitTries = 600
+
+// awaitStatus waits until GET of a URL answers with the given status.
+func awaitStatus(ts *testscript.TestScript, _ bool, args []string) {
+	for range awaitTries {
+		status, _, err := fasthttp.Get(nil, args[1])
+		if err == nil && fmt.Sprint(status) == args[0] {
+			return
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	ts.Fatalf("%s never answered %s", args[1], args[0])
+}
--- /dev/null
+++ b/conf/doc.go
@@ -0,0 +1,2 @@
+// Package conf reads INI settings and reports every problem of a file at once.
+package conf
--- /dev/null
+++ b/entry/node.go
@@ -0,0 +1,262 @@
+package entry
+
+import (
+	"context"
+	"crypto/sha256"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/gravitational/trace"
+	"github.com/jonboulle/clockwork"
+	"github.com/uber-go/tally/v4"
+	"github.com/valyala/fasthttp"
+	"go.uber.org/zap"
+
+	"lavenderwing.example/lavenderwing/admit"
+	"lavenderwing.example/lavenderwing/claim"
+	"lavenderwing.example/lavenderwing/conns"
+	"lavenderwing.example/lavenderwing/event"
+	"lavenderwing.example/lavenderwing/fleet"
+	"lavenderwing.example/lavenderwing/fold"
+	"lavenderwing.example/lavenderwing/follow"
+	"lavenderwing.example/lavenderwing/plat"
+)
+
+// hashSize is the length of an operator token's hash in bytes.
+const hashSize = sha256.Size
+
+// Node is one entry process.
+type Node struct {
+	settings Settings
+	platform plat.Log
+	clock    clockwork.Clock
+	log      *zap.Logger
+	metrics  tally.Scope
+	// metricsPage is nil when metrics go nowhere.
+	metricsPage MetricsPage
+	line        *event.Line
+	// writerID stays the same through rejoins, because the writer's sequence does.
+	writerID string
+
+	identity      sync.Mutex
+	incarnationID string
+	joinedAt      time.Time
+
+	writer      *follow.Writer
+	claimWriter *follow.Writer
+	state       *follow.State
+	claims      *claim.Table
+	stateTail   *follow.Tail
+	claimTail   *follow.Tail
+	lease       lease
+	current     atomic.Pointer[view]
+	watch       map[string]watched
+
+	// mu guards the tables below.
+	mu      sync.Mutex
+	rows    *admit.Table
+	units   map[string]*teamUnits
+	budgets map[admit.Service]*admit.Budget
+	version int64
+
+	poolMu sync.Mutex
+	pools  map[string]*conns.Pool
+
+	counters counters
+	stopping atomic.Bool
+	busy     sync.WaitGroup
+	server   *fasthttp.Server
+	attempts atomic.Uint64
+}
+
+// Option changes how a Node is built.
+type Option func(*Node)
+
+// WithClock replaces the real clock.
+func WithClock(c clockwork.Clock) Option { return func(n *Node) { n.clock = c } }
+
+// WithLogger sets where log lines go.
+func WithLogger(l *zap.Logger) Option { return func(n *Node) { n.log = l } }
+
+// MetricsPage shows all metrics of the process.
+type MetricsPage http.Handler
+
+// WithMetrics sets where metrics go and the page that shows them.
+func WithMetrics(s tally.Scope, page MetricsPage) Option {
+	return func(n *Node) {
+		n.metrics = s
+		n.metricsPage = page
+	}
+}
+
+// New returns a node that is not running yet.
+func New(settings Settings, platform plat.Log, opts ...Option) *Node {
+	id := newIncarnation()
+	n := &Node{
+		settings:      settings,
+		platform:      platform,
+		clock:         clockwork.NewRealClock(),
+		log:           zap.NewNop(),
+		metrics:       tally.NoopScope,
+		writerID:      id,
+		incarnationID: id,
+		watch:         map[string]watched{},
+		units:         map[string]*teamUnits{},
+		budgets:       map[admit.Service]*admit.Budget{},
+		pools:         map[string]*conns.Pool{},
+	}
+	for _, opt := range opts {
+		opt(n)
+	}
+	n.line = event.New(settings.Listen, settings.Zone, id, event.WithClock(n.clock))
+	n.rows = admit.New(admit.WithNotes(n.note))
+	n.counters = newCounters(n.metrics)
+	n.follow()
+	n.current.Store(viewOf(fold.New(), n.rows))
+	n.server = n.newServer()
+	return n
+}
+
+// follow builds the writers and tails of both streams.
+func (n *Node) follow() {
+	options := []follow.WriterOption{follow.WithInterval(n.settings.Commit), follow.WithClock(n.clock)}
+	n.writer = follow.NewWriter(n.platform, plat.StateStream, n.writerID, options...)
+	n.claimWriter = follow.NewWriter(n.platform, plat.ClaimStream, n.writerID, options...)
+	n.state = follow.NewState(n.writer)
+	n.state.Watch(n.configure)
+	n.claims = claim.NewTable(n.settings.ClaimWindow, n.claimWriter)
+	n.line.SetOffset(func() int64 { return n.state.Tables().Offset() })
+	bad := func(offset int64, err error) {
+		n.log.Error("log entry skipped", zap.Int64("offset", offset), zap.Error(err))
+	}
+	n.stateTail = follow.NewTail(n.platform, plat.StateStream, n.state, follow.WithTailClock(n.clock), follow.WithBad(bad),
+		follow.WithLost(func(l *plat.LostError) { n.line.Add(event.KindLog, l.Stream, "retention", l.Error()) }))
+	n.claimTail = follow.NewTail(n.platform, plat.ClaimStream, n.claims, follow.WithTailClock(n.clock), follow.WithBad(bad),
+		follow.WithLost(func(l *plat.LostError) { n.claims.Skip(l.First) }))
+}
+
+func newIncarnation() string { return uuid.Must(uuid.NewV7()).String() }
+
+func (n *Node) incarnation() string {
+	n.identity.Lock()
+	defer n.identity.Unlock()
+	return n.incarnationID
+}
+
+func (n *Node) view() *view { return n.current.Load() }
+
+func (n *Node) note(note admit.Note) {
+	n.line.Add(event.KindTarget, note.Target, "health", note.What)
+	n.counters.targets.Inc(1)
+}
+
+// configure carries new tables into admission when their configuration or membership changed.
+func (n *Node) configure(t fold.Tables) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if t.Config() != n.version || n.version == 0 {
+		n.version = t.Config()
+		n.rows.Configure(layoutOf(t))
+		if open, ok := n.rows.Team(openTeam); ok {
+			n.rows.SetUsable(open, openLimit)
+		}
+		n.unitsOf(t)
+		n.current.Store(viewOf(t, n.rows))
+		n.line.Add(event.KindConfig, "version", "log", "")
+	}
+	n.divideSlots(t)
+}
+
+// divideSlots gives each live entry process an equal part of each target's slots.
+func (n *Node) divideSlots(t fold.Tables) {
+	var live []fleet.Member
+	mine := -1
+	for _, m := range t.Members() {
+		if !m.Live {
+			continue
+		}
+		if m.Seat == n.settings.Seat {
+			mine = len(live)
+		}
+		live = append(live, m)
+	}
+	for i, h := range t.Hosts.All() {
+		row, ok := n.rows.Target(h.Name)
+		if !ok {
+			continue
+		}
+		credit := 0
+		if mine >= 0 {
+			credit = h.Slots / len(live)
+			if (mine+i)%len(live) < h.Slots%len(live) {
+				credit++
+			}
+		}
+		n.rows.SetCredit(row, credit)
+	}
+}
+
+// Run serves until ctx ends, and then stops gracefully.
+func (n *Node) Run(ctx context.Context) error {
+	listener, err := net.Listen("tcp", n.settings.Listen)
+	if err != nil {
+		return trace.Wrap(err, "listening on %s", n.settings.Listen)
+	}
+	background, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	n.line.Add(event.KindStart, n.settings.Seat, "", "")
+	n.log.Info("started", zap.String("listen", n.settings.Listen), zap.String("zone", n.settings.Zone), zap.String("incarnation", n.writerID))
+	for _, run := range []func(context.Context){n.writer.Run, n.claimWriter.Run, n.stateTail.Run, n.claimTail.Run, n.tickForever} {
+		go run(background)
+	}
+	served := make(chan error, 1)
+	go func() { served <- n.server.Serve(listener) }()
+	select {
+	case err := <-served:
+		return trace.Wrap(err, "serving")
+	case <-ctx.Done():
+	}
+	n.stop(background)
+	return nil
+}
+
+func (n *Node) tickForever(ctx context.Context) {
+	ticker := n.clock.NewTicker(n.settings.Tick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.Chan():
+			n.tick(n.clock.Now())
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// tick runs each system once over the tables.
+func (n *Node) tick(now time.Time) {
+	if !n.stopping.Load() {
+		n.keepLease(now)
+		n.expireOthers(now)
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.keepLimits(now)
+	n.rows.Tick(now)
+}
+
+// pool returns the connections to a target.
+func (n *Node) pool(address string) *conns.Pool {
+	n.poolMu.Lock()
+	defer n.poolMu.Unlock()
+	p := n.pools[address]
+	if p == nil {
+		p = conns.New(address, conns.WithSource(n.settings.Source))
+		n.pools[address] = p
+	}
+	return p
+}
--- /dev/null
+++ b/entry/operate.go
@@ -0,0 +1,142 @@
+package entry
+
+import (
+	"context"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/json"
+	"errors"
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"lavenderwing.example/lavenderwing/event"
+	"lavenderwing.example/lavenderwing/fleet"
+	"lavenderwing.example/lavenderwing/fold"
+	"lavenderwing.example/lavenderwing/record"
+)
+
+// HeaderOperator names the operator whose token comes with a call.
+const HeaderOperator = "Operator"
+
+// changeWait bounds the wait for a change to be read back.
+const changeWait = 8 * time.Second
+
+// ChangeReply answers an operator's change.
+type ChangeReply struct {
+	// Version is the log offset from which the change is in force, and zero for a dry run.
+	Version int64 `json:"version"`
+	DryRun  bool  `json:"dryRun"`
+}
+
+// ErrorReply says why an operator's call failed.
+type ErrorReply struct {
+	Message string   `json:"message"`
+	Reasons []string `json:"reasons,omitempty"`
+	Winner  string   `json:"winner,omitempty"`
+}
+
+// TablesReply is the whole configuration.
+type TablesReply struct {
+	Version  int64           `json:"version"`
+	Teams    []fleet.Team    `json:"teams"`
+	Keys     []fleet.Key     `json:"keys"`
+	Queues   []fleet.Queue   `json:"queues"`
+	Services []fleet.Service `json:"services"`
+	Pools    []fleet.Pool    `json:"pools"`
+	Hosts    []fleet.Host    `json:"hosts"`
+}
+
+// operator lets only calls with an operator's token through.
+func (n *Node) operator(next func(ctx *fasthttp.RequestCtx, name string)) fasthttp.RequestHandler {
+	return func(ctx *fasthttp.RequestCtx) {
+		name := string(ctx.Request.Header.Peek(HeaderOperator))
+		token := strings.TrimPrefix(string(ctx.Request.Header.Peek(fasthttp.HeaderAuthorization)), bearer)
+		got := sha256.Sum256([]byte(token))
+		want, ok := n.settings.Operators[name]
+		if subtle.ConstantTimeCompare(got[:], want) != 1 || !ok {
+			writeJSON(ctx, fasthttp.StatusUnauthorized, ErrorReply{Message: "operator or token not known"})
+			return
+		}
+		next(ctx, name)
+	}
+}
+
+func (n *Node) serveChange(ctx *fasthttp.RequestCtx, name string) {
+	var change record.Change
+	if err := json.Unmarshal(ctx.PostBody(), &change); err != nil {
+		writeJSON(ctx, fasthttp.StatusBadRequest, ErrorReply{Message: err.Error()})
+		return
+	}
+	change.Operator = name
+	if !n.ready() {
+		writeJSON(ctx, fasthttp.StatusServiceUnavailable, ErrorReply{Message: "the configuration is not known yet"})
+		return
+	}
+	if ctx.QueryArgs().GetBool("dryRun") {
+		n.dryRun(ctx, change)
+		return
+	}
+	wait, cancel := context.WithTimeout(context.Background(), changeWait)
+	defer cancel()
+	if err := n.writer.Await(wait, change); err != nil {
+		writeChangeError(ctx, err)
+		return
+	}
+	version := n.state.Tables().Config()
+	n.line.Add(event.KindConfig, "change", name, describe(change))
+	writeJSON(ctx, fasthttp.StatusOK, ChangeReply{Version: version})
+}
+
+// dryRun applies the change to the present tables only, by the same fold that a real change goes through.
+func (n *Node) dryRun(ctx *fasthttp.RequestCtx, change record.Change) {
+	t := n.state.Tables()
+	_, errs := t.Apply(t.Offset()+1, record.Batch{Writer: "dryRun", Sequence: t.Folded("dryRun") + 1, Records: []record.Record{change}})
+	if errs[0] != nil {
+		writeChangeError(ctx, errs[0])
+		return
+	}
+	writeJSON(ctx, fasthttp.StatusOK, ChangeReply{DryRun: true})
+}
+
+func writeChangeError(ctx *fasthttp.RequestCtx, err error) {
+	var stale *fold.StaleError
+	var invalid *fold.InvalidError
+	switch {
+	case errors.As(err, &stale):
+		writeJSON(ctx, fasthttp.StatusConflict, ErrorReply{Message: err.Error(), Winner: stale.Winner})
+	case errors.As(err, &invalid):
+		writeJSON(ctx, fasthttp.StatusUnprocessableEntity, ErrorReply{Message: "the change is not acceptable", Reasons: invalid.Reasons})
+	case errors.Is(err, context.DeadlineExceeded):
+		writeJSON(ctx, fasthttp.StatusGatewayTimeout, ErrorReply{Message: "the log did not take the change in time; it may still take effect"})
+	default:
+		writeJSON(ctx, fasthttp.StatusServiceUnavailable, ErrorReply{Message: err.Error()})
+	}
+}
+
+// describe names the rows of a change for the time line.
+func describe(c record.Change) string {
+	var names []string
+	for _, put := range c.Puts {
+		names = append(names, put.Row().ID())
+	}
+	return strings.Join(names, ",")
+}
+
+func (n *Node) serveTables(ctx *fasthttp.RequestCtx, _ string) {
+	t := n.state.Tables()
+	writeJSON(ctx, fasthttp.StatusOK, TablesReply{
+		Version:  t.Config(),
+		Teams:    t.Teams.All(),
+		Keys:     t.Keys.All(),
+		Queues:   t.Queues.All(),
+		Services: t.Services.All(),
+		Pools:    t.Pools.All(),
+		Hosts:    t.Hosts.All(),
+	})
+}
+
+func (n *Node) serveTimeline(ctx *fasthttp.RequestCtx, _ string) {
+	writeJSON(ctx, fasthttp.StatusOK, n.line.About(string(ctx.QueryArgs().Peek("about"))))
+}
--- /dev/null
+++ b/entry/request.go
@@ -0,0 +1,135 @@
+package entry
+
+import (
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/valyala/fasthttp"
+
+	"lavenderwing.example/lavenderwing/admit"
+	"lavenderwing.example/lavenderwing/fleet"
+)
+
+// Bounds of what callers may ask for.
+const (
+	maxIDLength = 128
+	maxTimeout  = time.Hour
+	bearer      = "Bearer "
+)
+
+// request is one caller's request after it was checked.
+type request struct {
+	id         string
+	uuid       uuid.UUID
+	queue      queueRow
+	key        string
+	secret     string
+	team       admit.Team
+	teamName   string
+	idempotent bool
+	arrived    time.Time
+	deadline   time.Time
+}
+
+// parse checks a caller's request against the configuration.
+func (n *Node) parse(ctx *fasthttp.RequestCtx, now time.Time) (request, *refusal) {
+	name, _ := ctx.UserValue("queue").(string)
+	queue, ok := n.view().queues[name]
+	if !ok {
+		return request{}, notRun(fasthttp.StatusNotFound, "noSuchQueue", "there is no queue of this name")
+	}
+	r := request{queue: queue, arrived: now}
+	if refused := r.identify(ctx); refused != nil {
+		return r, refused
+	}
+	if refused := r.limitTime(ctx); refused != nil {
+		return r, refused
+	}
+	if refused := r.readKey(ctx); refused != nil {
+		return r, refused
+	}
+	return r, n.authorize(&r)
+}
+
+// identify reads the request's identifier, which a request that must not run twice needs to have.
+func (r *request) identify(ctx *fasthttp.RequestCtx) *refusal {
+	r.idempotent = string(ctx.Request.Header.Peek(HeaderIdempotent)) == "true"
+	r.id = string(ctx.Request.Header.Peek(HeaderRequest))
+	if len(r.id) > maxIDLength {
+		return notRun(fasthttp.StatusBadRequest, "badRequestId", "the Request-Id is too long")
+	}
+	if r.idempotent {
+		if r.id == "" {
+			r.id = uuid.Must(uuid.NewV7()).String()
+		}
+		return nil
+	}
+	id, err := uuid.Parse(r.id)
+	if err != nil || id.Version() != 7 {
+		return notRun(fasthttp.StatusBadRequest, "badRequestId",
+			"a request that is not idempotent needs a version 7 UUID as Request-Id, the same for each repeat")
+	}
+	r.uuid = id
+	r.id = id.String()
+	return nil
+}
+
+func (r *request) limitTime(ctx *fasthttp.RequestCtx) *refusal {
+	timeout := r.queue.MaxWait() + r.queue.runs
+	if text := ctx.Request.Header.Peek(HeaderTimeout); len(text) > 0 {
+		ms, err := fasthttp.ParseUint(text)
+		if err != nil || ms < 1 || time.Duration(ms)*time.Millisecond > maxTimeout {
+			return notRun(fasthttp.StatusBadRequest, "badTimeout", "Timeout-Ms is not a number of milliseconds up to one hour")
+		}
+		timeout = min(timeout, time.Duration(ms)*time.Millisecond)
+	}
+	r.deadline = r.arrived.Add(timeout)
+	return nil
+}
+
+func (r *request) readKey(ctx *fasthttp.RequestCtx) *refusal {
+	text, ok := strings.CutPrefix(string(ctx.Request.Header.Peek(fasthttp.HeaderAuthorization)), bearer)
+	if !ok {
+		if r.queue.Open {
+			return nil
+		}
+		return notRun(fasthttp.StatusUnauthorized, "noKey", "this queue needs a key as bearer token")
+	}
+	r.key, r.secret, ok = fleet.SplitKey(text)
+	if !ok {
+		return notRun(fasthttp.StatusUnauthorized, "badKey", "the key is not in force")
+	}
+	return nil
+}
+
+// authorize finds the request's team by its key; it is asked again before each send, because a key may be withdrawn meanwhile.
+func (n *Node) authorize(r *request) *refusal {
+	if r.key == "" {
+		r.teamName = openTeam
+		r.team, _ = n.openTeam()
+		return nil
+	}
+	key, ok := n.view().keys[r.key]
+	if !ok || key.Withdrawn || !key.Matches(r.secret) {
+		return notRun(fasthttp.StatusUnauthorized, "badKey", "the key is not in force")
+	}
+	if !n.mayTrustKeys(n.clock.Now()) {
+		return notRun(fasthttp.StatusServiceUnavailable, "isolated",
+			"this entry process has heard nothing of the configuration for too long to trust keys").withRetry(time.Second)
+	}
+	r.teamName = key.Team
+	r.team = key.team
+	return nil
+}
+
+func (n *Node) openTeam() (admit.Team, bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.rows.Team(openTeam)
+}
+
+// mayTrustKeys reports whether the configuration is recent enough to decide on keys.
+func (n *Node) mayTrustKeys(now time.Time) bool {
+	return now.Sub(n.stateTail.AtEnd()) <= n.settings.FreshFor+n.settings.IsolatedFor
+}
--- /dev/null
+++ b/entry/server.go
@@ -0,0 +1,89 @@
+package entry
+
+import (
+	"errors"
+	"net"
+
+	"github.com/fasthttp/router"
+	"github.com/valyala/fasthttp"
+	"github.com/valyala/fasthttp/fasthttpadaptor"
+)
+
+// Paths of the HTTP interface.
+const (
+	QueuesPath   = "/v1/queues/"
+	RequestsPath = "/requests"
+	ChangesPath  = "/v1/changes"
+	TablesPath   = "/v1/tables"
+	StatusPath   = "/v1/status"
+	TimelinePath = "/v1/timeline"
+	MetricsPath  = "/metrics"
+	HealthPath   = "/healthz"
+)
+
+func (n *Node) newServer() *fasthttp.Server {
+	r := router.New()
+	r.POST(QueuesPath+"{queue}"+RequestsPath, n.serveRequest)
+	r.POST(ChangesPath, n.operator(n.serveChange))
+	r.GET(TablesPath, n.operator(n.serveTables))
+	r.GET(StatusPath, n.operator(n.serveStatus))
+	r.GET(TimelinePath, n.operator(n.serveTimeline))
+	r.GET(HealthPath, n.serveHealth)
+	if n.metricsPage != nil {
+		r.GET(MetricsPath, fasthttpadaptor.NewFastHTTPHandler(n.metricsPage))
+	}
+	r.NotFound = func(ctx *fasthttp.RequestCtx) {
+		notRun(fasthttp.StatusNotFound, "noSuchPath", "there is nothing at this path").write(ctx)
+	}
+	r.MethodNotAllowed = func(ctx *fasthttp.RequestCtx) {
+		notRun(fasthttp.StatusMethodNotAllowed, "methodNotAllowed", "this path takes another method").write(ctx)
+	}
+	r.PanicHandler = func(ctx *fasthttp.RequestCtx, _ any) {
+		unknown("internal", "the entry process failed on this request").withStatus(fasthttp.StatusInternalServerError).write(ctx)
+	}
+	return &fasthttp.Server{
+		Handler:               r.Handler,
+		ErrorHandler:          badRequest,
+		Name:                  "lavenderwing",
+		Concurrency:           n.settings.MaxCallers,
+		MaxRequestBodySize:    n.settings.MaxBody,
+		ReadTimeout:           n.settings.ReadWait,
+		IdleTimeout:           n.settings.ReadWait,
+		NoDefaultServerHeader: true,
+		CloseOnShutdown:       true,
+		Logger:                quiet{},
+	}
+}
+
+// badRequest answers requests that could not be read.
+func badRequest(ctx *fasthttp.RequestCtx, err error) {
+	var small *fasthttp.ErrSmallBuffer
+	var network net.Error
+	switch {
+	case errors.Is(err, fasthttp.ErrBodyTooLarge):
+		notRun(fasthttp.StatusRequestEntityTooLarge, "bodyTooLarge", "the body is larger than this entry process takes").write(ctx)
+	case errors.As(err, &small):
+		notRun(fasthttp.StatusRequestHeaderFieldsTooLarge, "headerTooLarge", "the header is larger than this entry process takes").write(ctx)
+	case errors.As(err, &network) && network.Timeout():
+		notRun(fasthttp.StatusRequestTimeout, "tooSlow", "the request did not arrive in time").write(ctx)
+	default:
+		notRun(fasthttp.StatusBadRequest, "malformed", "the request is not well-formed HTTP").write(ctx)
+	}
+}
+
+func (n *Node) serveHealth(ctx *fasthttp.RequestCtx) {
+	if n.stopping.Load() || !n.ready() {
+		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+		return
+	}
+	ctx.SetBodyString("ok\n")
+}
+
+// ready reports whether this process knows a whole state.
+func (n *Node) ready() bool { return n.stateTail.Whole() && n.claimTail.Whole() }
+
+// quiet drops the HTTP library's own lines, which peers could flood.
+type quiet struct{}
+
+// Printf drops the line.
+func (quiet) Printf(string, ...any) {}
--- /dev/null
+++ b/entry/settings.go
@@ -0,0 +1,108 @@
+package entry
+
+import (
+	"encoding/hex"
+	"net"
+	"time"
+
+	"lavenderwing.example/lavenderwing/conf"
+)
+
+// Settings configures one entry process.
+type Settings struct {
+	// Listen serves callers and operators.
+	Listen string
+	// Seat is the address for peers; no two live processes share it.
+	Seat     string
+	Zone     string
+	Platform string
+	// Source is the local address of outgoing connections, or nil.
+	Source net.IP
+
+	// Lease is how long elastic units of limits stay good after a renewal is sent.
+	Lease time.Duration
+	// Tick is the period of the systems that run over the tables.
+	Tick time.Duration
+	// Commit is the shortest time between two appends to one stream.
+	Commit time.Duration
+	// ClaimWindow is how long a non-idempotent request's identifier is remembered.
+	ClaimWindow time.Duration
+	// FreshFor is how old the newest evidence of the log's end may be.
+	FreshFor time.Duration
+	// IsolatedFor is how long a process without such evidence goes on with the keys that it knows.
+	IsolatedFor time.Duration
+	// StopWait bounds a graceful stop.
+	StopWait time.Duration
+
+	MaxBody    int
+	ReadWait   time.Duration
+	MaxCallers int
+	// RetryPercent is how many retries each hundred first tries allow.
+	RetryPercent int
+
+	// Operators maps each operator's name to the SHA-256 sum of a token.
+	Operators map[string][]byte
+}
+
+// Defaults and bounds of the settings.
+const (
+	defaultLease       = 6 * time.Second
+	defaultTick        = 20 * time.Millisecond
+	defaultCommit      = 20 * time.Millisecond
+	defaultClaimWindow = 15 * time.Minute
+	defaultFreshFor    = 5 * time.Second
+	defaultIsolatedFor = time.Hour
+	defaultStopWait    = 30 * time.Second
+	defaultMaxBody     = 1 << 20
+	defaultReadWait    = 10 * time.Second
+	defaultMaxCallers  = 4096
+	defaultRetries     = 10
+
+	shortest = time.Millisecond
+	longest  = 24 * time.Hour
+	bodyMost = 64 << 20
+	most     = 1 << 20
+	percent  = 100
+)
+
+// Load reads the settings of an entry process from a file.
+func Load(path string) (Settings, error) {
+	file, err := conf.Open(path)
+	if err != nil {
+		return Settings{}, err
+	}
+	main := file.Section("entry")
+	limits := file.Section("limits")
+	s := Settings{
+		Listen:       main.Address("listen"),
+		Seat:         main.Address("seat"),
+		Zone:         main.Required("zone"),
+		Platform:     main.Address("platform"),
+		Source:       main.IP("source"),
+		Lease:        main.Duration("lease", defaultLease, time.Second, time.Hour),
+		Tick:         main.Duration("tick", defaultTick, shortest, time.Second),
+		Commit:       main.Duration("commit", defaultCommit, shortest, time.Second),
+		ClaimWindow:  main.Duration("claimWindow", defaultClaimWindow, time.Minute, longest),
+		FreshFor:     main.Duration("freshFor", defaultFreshFor, shortest, longest),
+		IsolatedFor:  main.Duration("isolatedFor", defaultIsolatedFor, 0, longest),
+		StopWait:     main.Duration("stopWait", defaultStopWait, shortest, longest),
+		MaxBody:      limits.Int("maxBody", defaultMaxBody, 1, bodyMost),
+		ReadWait:     limits.Duration("readWait", defaultReadWait, shortest, longest),
+		MaxCallers:   limits.Int("maxCallers", defaultMaxCallers, 1, most),
+		RetryPercent: limits.Int("retryPercent", defaultRetries, 0, percent),
+		Operators:    map[string][]byte{},
+	}
+	for _, name := range file.Named("operator") {
+		s.Operators[name] = operatorHash(file, "operator "+name)
+	}
+	return s, file.Err()
+}
+
+func operatorHash(file *conf.File, section string) []byte {
+	text := file.Section(section).Required("tokenHash")
+	hash, err := hex.DecodeString(text)
+	if err != nil || len(hash) != hashSize {
+		file.Reject(section, "tokenHash", text, "the SHA-256 sum of a token in 64 hexadecimal digits")
+	}
+	return hash
+}
--- /dev/null
+++ b/entry/status.go
@@ -0,0 +1,68 @@
+package entry
+
+import (
+	"github.com/valyala/fasthttp"
+
+	"lavenderwing.example/lavenderwing/fleet"
+)
+
+// StatusReply is what one entry process says of itself and of the others it knows.
+type StatusReply struct {
+	Seat        string `json:"seat"`
+	Zone        string `json:"zone"`
+	Incarnation string `json:"incarnation"`
+	// Offset is the last log offset folded.
+	Offset int64 `json:"offset"`
+	// Version is the configuration in force.
+	Version int64 `json:"version"`
+	// FreshMs is the age of the newest evidence of the log's end.
+	FreshMs    int64          `json:"freshMs"`
+	Ready      bool           `json:"ready"`
+	LeaseValid bool           `json:"leaseValid"`
+	TrustsKeys bool           `json:"trustsKeys"`
+	Claims     int            `json:"claims"`
+	Appends    int64          `json:"appends"`
+	Members    []fleet.Member `json:"members"`
+	Teams      []TeamStatus   `json:"teams"`
+}
+
+// TeamStatus is one team's use of this entry process.
+type TeamStatus struct {
+	Team    string `json:"team"`
+	Held    int    `json:"held"`
+	Usable  int    `json:"usable"`
+	Running int    `json:"running"`
+	Waiting int    `json:"waiting"`
+}
+
+func (n *Node) serveStatus(ctx *fasthttp.RequestCtx, _ string) {
+	now := n.clock.Now()
+	t := n.state.Tables()
+	reply := StatusReply{
+		Seat:        n.settings.Seat,
+		Zone:        n.settings.Zone,
+		Incarnation: n.incarnation(),
+		Offset:      t.Offset(),
+		Version:     t.Config(),
+		FreshMs:     now.Sub(n.stateTail.AtEnd()).Milliseconds(),
+		Ready:       n.ready(),
+		LeaseValid:  n.lease.valid(now),
+		TrustsKeys:  n.mayTrustKeys(now),
+		Claims:      n.claims.Len(),
+		Appends:     n.writer.Appends() + n.claimWriter.Appends(),
+		Members:     t.Members(),
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, team := range t.Teams.All() {
+		u := n.units[team.Name]
+		if u == nil {
+			continue
+		}
+		running, waiting := n.rows.TeamLoad(u.row)
+		reply.Teams = append(reply.Teams, TeamStatus{
+			Team: team.Name, Held: u.hold.Held(), Usable: n.rows.Usable(u.row), Running: running, Waiting: waiting,
+		})
+	}
+	writeJSON(ctx, fasthttp.StatusOK, reply)
+}
--- /dev/null
+++ b/entry/stop.go
@@ -0,0 +1,57 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"lavenderwing.example/lavenderwing/event"
+	"lavenderwing.example/lavenderwing/record"
+)
+
+// leaveWait bounds the wait for the log to take the leave record.
+const leaveWait = 2 * time.Second
+
+// balancerWait lets the balancer see that the health check fails before connections close.
+const balancerWait = 500 * time.Millisecond
+
+// stop takes nothing new, finishes what runs, gives back what it holds and closes the listener.
+func (n *Node) stop(background context.Context) {
+	n.stopping.Store(true)
+	n.line.Add(event.KindStop, n.settings.Seat, "", "graceful")
+	n.clock.Sleep(balancerWait)
+	finished := make(chan struct{})
+	go func() {
+		n.busy.Wait()
+		close(finished)
+	}()
+	select {
+	case <-finished:
+		n.leave(background)
+	case <-n.clock.After(n.settings.StopWait):
+		n.log.Warn("stopped with requests still running")
+	}
+	ctx, cancel := context.WithTimeout(background, leaveWait)
+	defer cancel()
+	if err := n.server.ShutdownWithContext(ctx); err != nil {
+		n.log.Warn("listener not closed in time", zap.Error(err))
+	}
+	n.log.Info("stopped")
+}
+
+// leave tells the others that nothing of this process runs any more, unless a given-up request may.
+func (n *Node) leave(background context.Context) {
+	n.mu.Lock()
+	lingering := n.rows.Lingering()
+	n.mu.Unlock()
+	if lingering > 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(background, leaveWait)
+	defer cancel()
+	r := record.Leave{Seat: n.settings.Seat, Incarnation: n.incarnation()}
+	if err := n.writer.Await(ctx, r); err != nil {
+		n.log.Warn("leave not recorded", zap.Error(err))
+	}
+}
--- /dev/null
+++ b/fold/change.go
@@ -0,0 +1,97 @@
+package fold
+
+import (
+	"fmt"
+
+	"lavenderwing.example/lavenderwing/escrow"
+	"lavenderwing.example/lavenderwing/fleet"
+	"lavenderwing.example/lavenderwing/record"
+)
+
+// change applies all puts or none.
+func (t Tables) change(c record.Change) (Tables, error) {
+	next := t
+	var reasons []string
+	for i, put := range c.Puts {
+		row := put.Row()
+		if row == nil {
+			reasons = append(reasons, fmt.Sprintf("put %d does not hold exactly one row", i))
+			continue
+		}
+		for _, problem := range append(row.Problems(), next.dangling(row)...) {
+			reasons = append(reasons, fmt.Sprintf("%T %q: %s", row, row.ID(), problem))
+		}
+		var err error
+		next, err = next.put(row, put.Expect, c.Operator)
+		if err != nil {
+			return t, err
+		}
+	}
+	if len(reasons) > 0 {
+		return t, &InvalidError{Reasons: reasons}
+	}
+	next.config = next.offset
+	return next, nil
+}
+
+func (t Tables) put(row fleet.Row, expect int64, operator string) (Tables, error) {
+	var err error
+	switch r := row.(type) {
+	case fleet.Team:
+		t.Teams, err = t.Teams.put(r, expect, t.offset, operator)
+		if err == nil {
+			t = t.limit(r)
+		}
+	case fleet.Key:
+		t.Keys, err = t.Keys.put(r, expect, t.offset, operator)
+	case fleet.Queue:
+		t.Queues, err = t.Queues.put(r, expect, t.offset, operator)
+	case fleet.Service:
+		t.Services, err = t.Services.put(r, expect, t.offset, operator)
+	case fleet.Pool:
+		t.Pools, err = t.Pools.put(r, expect, t.offset, operator)
+	case fleet.Host:
+		t.Hosts, err = t.Hosts.put(r, expect, t.offset, operator)
+	}
+	return t, err
+}
+
+// dangling returns the references of a row to rows that do not exist.
+func (t Tables) dangling(row fleet.Row) []string {
+	var problems []string
+	need := func(kind, name string, found bool) {
+		if !found {
+			problems = append(problems, fmt.Sprintf("no %s %q", kind, name))
+		}
+	}
+	switch r := row.(type) {
+	case fleet.Key:
+		_, ok := t.Teams.Get(r.Team)
+		need("team", r.Team, ok)
+	case fleet.Queue:
+		_, ok := t.Services.Get(r.Service)
+		need("service", r.Service, ok)
+	case fleet.Service:
+		_, ok := t.Pools.Get(r.Pool)
+		need("pool", r.Pool, ok)
+	case fleet.Host:
+		_, ok := t.Pools.Get(r.Pool)
+		need("pool", r.Pool, ok)
+	}
+	return problems
+}
+
+// limit carries a team's limit into its ledger, which every live seat joins.
+func (t Tables) limit(team fleet.Team) Tables {
+	ledger, ok := t.ledgers.Get(team.Name)
+	if !ok {
+		ledger = escrow.New(team.Limit)
+		for _, m := range t.Members() {
+			if m.Live {
+				ledger = ledger.WithJoin(m.Seat, m.Zone, m.Incarnation)
+			}
+		}
+	}
+	t.ledgers = t.ledgers.Set(team.Name, ledger.WithLimit(team.Limit))
+	return t
+}
--- /dev/null
+++ b/load/settings.go
@@ -0,0 +1,118 @@
+package load
+
+import (
+	"strings"
+	"time"
+
+	"lavenderwing.example/lavenderwing/conf"
+)
+
+// Settings describes one load run.
+type Settings struct {
+	Entries []string
+	Standin string
+	// Duration is how long requests are sent.
+	Duration time.Duration
+	// Turn is how long each queue in turn asks for Burst times its mean.
+	Turn time.Duration
+	// Burst multiplies the mean rate of the queue whose turn it is.
+	Burst float64
+	// Rest multiplies the mean rate of every other queue.
+	Rest float64
+	// Settle is the time after a change of turn for which the share is not judged.
+	Settle time.Duration
+	Seed   uint64
+	Teams  []TeamSettings
+	Queues []QueueSettings
+}
+
+// TeamSettings describes a team that submits load.
+type TeamSettings struct {
+	Name  string
+	Key   string
+	Share int
+	Limit int
+	// Part is the team's relative part of each queue's requests.
+	Part int
+}
+
+// QueueSettings describes one queue's load.
+type QueueSettings struct {
+	Name string
+	// Pool is where the queue's requests run, and Slots its size.
+	Pool  string
+	Slots int
+	// Mean is the mean rate in requests a second.
+	Mean float64
+	// Run is the mean run time; each run takes from half to one and a half of it.
+	Run time.Duration
+	// OncePercent of the requests must not run twice.
+	OncePercent int
+	Timeout     time.Duration
+	Urgent      bool
+}
+
+// Defaults and bounds.
+const (
+	defaultDuration = 20 * time.Second
+	defaultTurn     = 4 * time.Second
+	defaultBurst    = 5
+	defaultSettle   = time.Second
+	defaultRun      = 100 * time.Millisecond
+	defaultTimeout  = 5 * time.Second
+	restPart        = 20
+	mostRate        = 100_000
+	mostSlots       = 100_000
+	mostTime        = time.Hour
+	percent         = 100
+)
+
+// Load reads the settings of a load run from a file.
+func Load(path string) (Settings, error) {
+	file, err := conf.Open(path)
+	if err != nil {
+		return Settings{}, err
+	}
+	main := file.Section("load")
+	s := Settings{
+		Entries:  main.List("entries"),
+		Standin:  main.Address("standin"),
+		Duration: main.Duration("duration", defaultDuration, time.Second, mostTime),
+		Turn:     main.Duration("turn", defaultTurn, time.Second, mostTime),
+		Burst:    float64(main.Int("burst", defaultBurst, 1, mostRate)),
+		Rest:     1 / float64(main.Int("restPart", restPart, 1, mostRate)),
+		Settle:   main.Duration("settle", defaultSettle, 0, mostTime),
+		Seed:     uint64(main.Int("seed", 1, 0, mostRate)),
+	}
+	if len(s.Entries) == 0 {
+		file.Reject("load", "entries", "", "at least one address")
+	}
+	for _, name := range file.Named("team") {
+		t := file.Section("team " + name)
+		s.Teams = append(s.Teams, TeamSettings{
+			Name: name, Key: t.Required("key"), Share: t.Int("share", 1, 1, mostRate),
+			Limit: t.Int("limit", mostSlots, 0, mostSlots), Part: t.Int("part", 1, 0, mostRate),
+		})
+	}
+	for _, name := range file.Named("queue") {
+		s.Queues = append(s.Queues, loadQueue(file, name))
+	}
+	if len(s.Teams) == 0 || len(s.Queues) == 0 {
+		file.Reject("load", "", "", "at least one [team NAME] and one [queue NAME]")
+	}
+	return s, file.Err()
+}
+
+func loadQueue(file *conf.File, name string) QueueSettings {
+	q := file.Section("queue " + name)
+	return QueueSettings{
+		Name:        name,
+		Pool:        strings.TrimSpace(q.Required("pool")),
+		Slots:       q.Int("slots", 1, 1, mostSlots),
+		Mean:        float64(q.Int("mean", 10, 1, mostRate)),
+		Run:         q.Duration("run", defaultRun, time.Millisecond, mostTime),
+		OncePercent: q.Int("oncePercent", 0, 0, percent),
+		Timeout:     q.Duration("timeout", defaultTimeout, time.Millisecond, mostTime),
+		Urgent:      q.Bool("urgent", false),
+	}
+}
--- /dev/null
+++ b/stand/settings.go
@@ -0,0 +1,94 @@
+package stand
+
+import (
+	"fmt"
+	"net"
+	"strconv"
+
+	"lavenderwing.example/lavenderwing/conf"
+)
+
+// HostSettings describes one executor of the stand-in.
+type HostSettings struct {
+	Name        string
+	Pool        string
+	Zone        string
+	Rack        string
+	Address     string
+	Slots       int
+	Connections int
+}
+
+// Settings describes a stand-in.
+type Settings struct {
+	// Listen serves the log, the host list and the control interface.
+	Listen string
+	// Keep is the number of entries that each stream retains.
+	Keep  int
+	Hosts []HostSettings
+}
+
+// Bounds of the settings.
+const (
+	maxKeep        = 10_000_000
+	defaultKeep    = 1_000_000
+	maxHosts       = 5000
+	maxPort        = 65535
+	defaultSlots   = 8
+	defaultConns   = 64
+	defaultRack    = 4
+	maxConnections = 4096
+)
+
+// Load reads the settings of a stand-in from a file.
+func Load(path string) (Settings, error) {
+	file, err := conf.Open(path)
+	if err != nil {
+		return Settings{}, err
+	}
+	main := file.Section("standin")
+	s := Settings{Listen: main.Address("listen"), Keep: main.Int("keep", defaultKeep, 1, maxKeep)}
+	for _, pool := range file.Named("pool") {
+		s.Hosts = append(s.Hosts, loadPool(file, pool)...)
+	}
+	return s, file.Err()
+}
+
+// loadPool spreads the hosts of a pool over its zones, and each zone's hosts over racks.
+func loadPool(file *conf.File, pool string) []HostSettings {
+	name := "pool " + pool
+	section := file.Section(name)
+	zones := section.List("zones")
+	if len(zones) == 0 {
+		file.Reject(name, "zones", "", "at least one availability zone")
+		return nil
+	}
+	first := section.Address("firstAddress")
+	count := section.Int("hosts", 0, 1, maxHosts)
+	slots := section.Int("slots", defaultSlots, 1, maxConnections)
+	connections := section.Int("connections", defaultConns, 1, maxConnections)
+	rack := section.Int("hostsPerRack", defaultRack, 1, maxHosts)
+	ip, portText, err := net.SplitHostPort(first)
+	if err != nil {
+		return nil
+	}
+	port, _ := strconv.Atoi(portText)
+	if port+count > maxPort {
+		file.Reject(name, "firstAddress", first, "a port that leaves room for all hosts")
+		return nil
+	}
+	hosts := make([]HostSettings, 0, count)
+	for i := range count {
+		zone := zones[i%len(zones)]
+		hosts = append(hosts, HostSettings{
+			Name:        fmt.Sprintf("%s-%d", pool, i+1),
+			Pool:        pool,
+			Zone:        zone,
+			Rack:        fmt.Sprintf("%s-%s-%d", pool, zone, i/len(zones)/rack+1),
+			Address:     net.JoinHostPort(ip, strconv.Itoa(port+i)),
+			Slots:       slots,
+			Connections: connections,
+		})
+	}
+	return hosts
+}
--- /dev/null
+++ b/stand/stand.go
@@ -0,0 +1,205 @@
+package stand
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/fasthttp/router"
+	"github.com/gravitational/trace"
+	"github.com/valyala/fasthttp"
+
+	"lavenderwing.example/lavenderwing/plat"
+)
+
+// Paths of the stand-in's own control interface.
+const (
+	FaultsPath = "/v1/faults"
+	TotalsPath = "/v1/totals"
+	RanPath    = "/v1/ran"
+)
+
+// Stand is a running stand-in.
+type Stand struct {
+	settings Settings
+	book     *book
+
+	mu      sync.Mutex
+	faults  Faults
+	streams map[string]*stream
+	hosts   []plat.HostStatus
+
+	servers []*fasthttp.Server
+	wait    sync.WaitGroup
+}
+
+// New returns a stand-in that is not listening yet.
+func New(settings Settings) *Stand {
+	return &Stand{settings: settings, book: newBook(), streams: map[string]*stream{}}
+}
+
+// Start listens on all addresses of the settings.
+func (s *Stand) Start() error {
+	control := &fasthttp.Server{Handler: s.router().Handler, NoDefaultServerHeader: true, MaxRequestBodySize: maxBody, Logger: silent{}}
+	if err := s.listen(s.settings.Listen, control, control.Serve); err != nil {
+		return err
+	}
+	for _, h := range s.settings.Hosts {
+		e := newExecutor(h.Name, h.Pool, h.Slots, h.Connections, s.book, func() TargetFault { return s.Faults().Targets[h.Name] })
+		if err := s.listen(h.Address, e.server, e.serve); err != nil {
+			return err
+		}
+		s.hosts = append(s.hosts, plat.HostStatus{Name: h.Name, Zone: h.Zone, Rack: h.Rack, Address: h.Address, State: plat.HostLive})
+	}
+	return nil
+}
+
+func (s *Stand) listen(address string, server *fasthttp.Server, serve func(net.Listener) error) error {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return trace.Wrap(err, "listening on %s", address)
+	}
+	s.servers = append(s.servers, server)
+	s.wait.Add(1)
+	go func() {
+		defer s.wait.Done()
+		_ = serve(l)
+	}()
+	return nil
+}
+
+// Stop closes all listeners and waits for running requests until ctx ends.
+func (s *Stand) Stop(ctx context.Context) {
+	for _, server := range s.servers {
+		_ = server.ShutdownWithContext(ctx)
+	}
+	s.wait.Wait()
+}
+
+// Faults returns what is going wrong now.
+func (s *Stand) Faults() Faults {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faults
+}
+
+// SetFaults replaces what is going wrong.
+func (s *Stand) SetFaults(f Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+}
+
+// Totals returns what the executors saw.
+func (s *Stand) Totals() Totals { return s.book.totals() }
+
+// Ran returns how often each of the requests ran.
+func (s *Stand) Ran(requests []string) map[string]int { return s.book.ran(requests) }
+
+func (s *Stand) router() *router.Router {
+	r := router.New()
+	r.POST(plat.StreamsPath+"{stream}"+plat.RecordsPath, s.platform(s.append))
+	r.GET(plat.StreamsPath+"{stream}"+plat.RecordsPath, s.platform(s.read))
+	r.GET(plat.HostsPath, s.platform(s.list))
+	r.GET(FaultsPath, func(ctx *fasthttp.RequestCtx) { reply(ctx, s.Faults()) })
+	r.POST(FaultsPath, s.setFaults)
+	r.GET(TotalsPath, func(ctx *fasthttp.RequestCtx) { reply(ctx, s.Totals()) })
+	r.POST(RanPath, s.ran)
+	return r
+}
+
+// platform guards a handler with the faults of the platform.
+func (s *Stand) platform(next fasthttp.RequestHandler) fasthttp.RequestHandler {
+	return func(ctx *fasthttp.RequestCtx) {
+		faults := s.Faults()
+		if faults.LogDown || faults.cuts(ctx.RemoteAddr()) {
+			ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+			return
+		}
+		next(ctx)
+	}
+}
+
+func (s *Stand) stream(ctx *fasthttp.RequestCtx) *stream {
+	name, _ := ctx.UserValue("stream").(string)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.streams[name] == nil {
+		s.streams[name] = newStream(s.settings.Keep)
+	}
+	return s.streams[name]
+}
+
+func (s *Stand) append(ctx *fasthttp.RequestCtx) {
+	time.Sleep(time.Duration(s.Faults().LogDelayMs) * time.Millisecond)
+	data := append([]byte(nil), ctx.PostBody()...)
+	offset := s.stream(ctx).append(data)
+	if s.loseAnswer() {
+		ctx.SetStatusCode(fasthttp.StatusGatewayTimeout)
+		return
+	}
+	reply(ctx, plat.AppendReply{Offset: offset})
+}
+
+func (s *Stand) loseAnswer() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.faults.LoseAnswers == 0 {
+		return false
+	}
+	s.faults.LoseAnswers--
+	return true
+}
+
+func (s *Stand) read(ctx *fasthttp.RequestCtx) {
+	from, err := ctx.QueryArgs().GetUint("from")
+	if err != nil {
+		ctx.SetStatusCode(fasthttp.StatusBadRequest)
+		return
+	}
+	waitMs, err := ctx.QueryArgs().GetUint("waitMs")
+	if err != nil {
+		ctx.SetStatusCode(fasthttp.StatusBadRequest)
+		return
+	}
+	page := s.stream(ctx).read(int64(from), time.Duration(waitMs)*time.Millisecond)
+	// A reader that waited through the start of an outage gets no answer either.
+	if faults := s.Faults(); faults.LogDown || faults.cuts(ctx.RemoteAddr()) {
+		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+		return
+	}
+	reply(ctx, page)
+}
+
+func (s *Stand) list(ctx *fasthttp.RequestCtx) { reply(ctx, s.hosts) }
+
+func (s *Stand) setFaults(ctx *fasthttp.RequestCtx) {
+	var f Faults
+	if err := json.Unmarshal(ctx.PostBody(), &f); err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+		return
+	}
+	s.SetFaults(f)
+	reply(ctx, f)
+}
+
+func (s *Stand) ran(ctx *fasthttp.RequestCtx) {
+	var requests []string
+	if err := json.Unmarshal(ctx.PostBody(), &requests); err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+		return
+	}
+	reply(ctx, s.Ran(requests))
+}
+
+func reply(ctx *fasthttp.RequestCtx, value any) {
+	body, err := json.Marshal(value)
+	if err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
+		return
+	}
+	ctx.SetContentType("application/json")
+	ctx.SetBody(body)
+}
