Slots divided by one allocator a service instead of evenly

Change: entry processes report each service's demand to the live seat that is highest by rendezvous hash; it divides slots max-min over teams and then over seats, and answers with credits a target. Calls are held until something changes.

--- /dev/null
+++ b/admit/demand.go
@@ -0,0 +1,59 @@
+package admit
+
+import (
+	"cmp"
+	"slices"
+
+	"lavenderwing.example/lavenderwing/alloc"
+)
+
+// Demands returns what each team wants at a service as far as its usable units admit, sorted by team.
+func (t *Table) Demands(s Service) []alloc.Demand {
+	var demands []alloc.Demand
+	for i, l := range t.services[s].lanes {
+		if l == nil || l.running+l.waiting == 0 {
+			continue
+		}
+		tm := &t.teams[i]
+		want := l.running + min(l.waiting, max(tm.usable-tm.running, 0))
+		if want > 0 {
+			demands = append(demands, alloc.Demand{Team: t.teamNames.list[i], Want: want})
+		}
+	}
+	slices.SortFunc(demands, func(a, b alloc.Demand) int { return cmp.Compare(a.Team, b.Team) })
+	return demands
+}
+
+// Lacking reports whether requests wait at a service that has no free slot here.
+func (t *Table) Lacking(s Service) bool {
+	row := &t.services[s]
+	return row.waiting > 0 && len(row.free) == 0
+}
+
+// Uses returns this process's part of each target of a service.
+func (t *Table) Uses(s Service) []alloc.Use {
+	var uses []alloc.Use
+	for _, i := range t.services[s].targets {
+		target := &t.targets[i]
+		if target.credit > 0 || target.running > 0 {
+			uses = append(uses, alloc.Use{Target: target.name, Credit: target.credit, Running: target.running})
+		}
+	}
+	return uses
+}
+
+// SetCredits replaces the slots that this process may occupy at each target of a service.
+func (t *Table) SetCredits(s Service, credits map[string]int) {
+	for _, i := range t.services[s].targets {
+		t.SetCredit(i, credits[t.targets[i].name])
+	}
+}
+
+// SetQuotas replaces the slots that each team should have here at a service.
+func (t *Table) SetQuotas(s Service, quotas map[string]int) {
+	for i, l := range t.services[s].lanes {
+		if l != nil {
+			l.quota = quotas[t.teamNames.list[i]]
+		}
+	}
+}
--- /dev/null
+++ b/alloc/report.go
@@ -0,0 +1,46 @@
+package alloc
+
+// Report is what one entry process says of one service.
+type Report struct {
+	Service     string
+	Seat        string
+	Incarnation string
+	// Applied is the sequence of the newest allocation in use at the seat.
+	Applied uint64
+	Demands []Demand
+	Uses    []Use
+}
+
+// Demand is what one team wants at a seat, as far as its limit admits.
+type Demand struct {
+	Team string
+	// Want is the number of requests that run or could run if there were slots.
+	Want int
+}
+
+// Use is a seat's part of one target.
+type Use struct {
+	Target  string
+	Credit  int
+	Running int
+}
+
+// Allocation answers a report with the seat's part of the service.
+type Allocation struct {
+	// Sequence grows with each allocation of one allocator for the seat.
+	Sequence uint64
+	Credits  []Credit
+	Quotas   []Quota
+}
+
+// Credit is the number of slots of a target that the seat may occupy.
+type Credit struct {
+	Target string
+	Slots  int
+}
+
+// Quota is the number of the service's slots that a team should have at the seat.
+type Quota struct {
+	Team  string
+	Slots int
+}
--- /dev/null
+++ b/alloc/table.go
@@ -0,0 +1,305 @@
+package alloc
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"lavenderwing.example/lavenderwing/share"
+)
+
+// Times of the allocator.
+const (
+	// Silence is how long a seat may say nothing before its slots go to others.
+	Silence = 3 * time.Second
+	// warmup is how long a new allocator only confirms what seats say they have.
+	warmup = 500 * time.Millisecond
+)
+
+// seat is one entry process as the allocator of a service sees it.
+type seat struct {
+	name        string
+	incarnation string
+	heard       time.Time
+	sequence    uint64
+	demands     map[string]int
+	running     map[string]int
+	// told is the newest allocation by target.
+	told map[string]int
+	// committed is the most slots that the seat may occupy at each target until it confirms less.
+	committed map[string]int
+	quotas    map[string]int
+	// due is the number of slots that the seat should have now.
+	due int
+}
+
+// Table is the allocator of one service; its methods must not run at the same time.
+type Table struct {
+	layout  Layout
+	seats   map[string]*seat
+	started time.Time
+}
+
+// New returns an allocator that has heard nothing.
+func New() *Table { return &Table{seats: map[string]*seat{}} }
+
+// Configure replaces the layout.
+func (t *Table) Configure(l Layout) { t.layout = l }
+
+// Report takes a seat's report and returns its allocation.
+func (t *Table) Report(r Report, now time.Time) Allocation {
+	if t.started.IsZero() {
+		t.started = now
+	}
+	s := t.hear(r, now)
+	t.forget(now)
+	t.divide()
+	return t.allocate(s, now)
+}
+
+// Again returns a newer allocation for a seat that was heard before, and whether it differs from the last one.
+func (t *Table) Again(name string, now time.Time) (Allocation, bool) {
+	s := t.seats[name]
+	if s == nil {
+		return Allocation{}, false
+	}
+	before := maps.Clone(s.told)
+	a := t.allocate(s, now)
+	return a, !maps.Equal(before, s.told)
+}
+
+// Stirred returns the other seats whose slots should change, sorted.
+func (t *Table) Stirred(except string, now time.Time) []string {
+	var names []string
+	free := t.free()
+	spare := 0
+	for _, n := range free {
+		spare += max(n, 0)
+	}
+	for name, s := range t.seats {
+		told := total(s.told)
+		if name != except && (told > s.due || told < s.due && spare > 0 && !t.warming(now)) {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+func (t *Table) warming(now time.Time) bool { return now.Sub(t.started) < warmup }
+
+// hear replaces what is known of a seat.
+func (t *Table) hear(r Report, now time.Time) *seat {
+	s := t.seats[r.Seat]
+	if s == nil || s.incarnation != r.Incarnation {
+		s = &seat{name: r.Seat, incarnation: r.Incarnation}
+		s.adopt(r)
+		t.seats[r.Seat] = s
+	}
+	if r.Applied > s.sequence {
+		// Another allocator has served the seat meanwhile.
+		s.adopt(r)
+	}
+	s.heard = now
+	s.demands = map[string]int{}
+	for _, d := range r.Demands {
+		s.demands[d.Team] += d.Want
+	}
+	s.running = map[string]int{}
+	for _, u := range r.Uses {
+		s.running[u.Target] = u.Running
+	}
+	if r.Applied >= s.sequence {
+		s.committed = maps.Clone(s.told)
+	}
+	for target, n := range s.running {
+		s.commit(target, n)
+	}
+	return s
+}
+
+// adopt takes over the allocation that the seat says it has.
+func (s *seat) adopt(r Report) {
+	s.sequence = r.Applied
+	s.told = map[string]int{}
+	for _, u := range r.Uses {
+		s.told[u.Target] = u.Credit
+	}
+}
+
+// commit raises what the seat may occupy at a target.
+func (s *seat) commit(target string, n int) {
+	if s.committed == nil {
+		s.committed = map[string]int{}
+	}
+	s.committed[target] = max(s.committed[target], n)
+}
+
+// forget drops seats that have been silent for too long.
+func (t *Table) forget(now time.Time) {
+	for name, s := range t.seats {
+		if now.Sub(s.heard) > Silence {
+			delete(t.seats, name)
+		}
+	}
+}
+
+// divide sets each seat's quotas and due slots: max-min fair over teams by weight, then over seats by demand.
+func (t *Table) divide() {
+	names := slices.Sorted(maps.Keys(t.seats))
+	capacity := 0
+	for _, target := range t.layout.Targets {
+		capacity += target.Slots
+	}
+	teams := t.teams()
+	claims := make([]share.Claim, len(teams))
+	for i, team := range teams {
+		claims[i].Weight = t.layout.Weights[team]
+		for _, s := range t.seats {
+			claims[i].Want += s.demands[team]
+		}
+	}
+	share.Divide(capacity, claims)
+	given := 0
+	for _, s := range t.seats {
+		s.quotas = map[string]int{}
+		s.due = 0
+	}
+	for i, team := range teams {
+		given += claims[i].Got
+		t.split(team, claims[i].Got, names)
+	}
+	t.spread(capacity-given, names)
+}
+
+// teams returns all teams with demand, sorted.
+func (t *Table) teams() []string {
+	set := map[string]bool{}
+	for _, s := range t.seats {
+		for team, want := range s.demands {
+			if want > 0 {
+				set[team] = true
+			}
+		}
+	}
+	return slices.Sorted(maps.Keys(set))
+}
+
+// split divides a team's slots over the seats where it wants them.
+func (t *Table) split(team string, slots int, names []string) {
+	claims := make([]share.Claim, len(names))
+	for i, name := range names {
+		want := t.seats[name].demands[team]
+		claims[i] = share.Claim{Want: want, Weight: want}
+	}
+	share.Divide(slots, claims)
+	for i, name := range names {
+		if claims[i].Got > 0 {
+			t.seats[name].quotas[team] = claims[i].Got
+			t.seats[name].due += claims[i].Got
+		}
+	}
+}
+
+// spread gives slots that nobody asks for to all seats alike, so that a new request finds one at once.
+func (t *Table) spread(slots int, names []string) {
+	for i, name := range names {
+		part := slots / len(names)
+		if i < slots%len(names) {
+			part++
+		}
+		t.seats[name].due += part
+	}
+}
+
+// free returns the slots of each target that no seat may occupy.
+func (t *Table) free() map[string]int {
+	free := make(map[string]int, len(t.layout.Targets))
+	for _, target := range t.layout.Targets {
+		free[target.Name] = target.Slots
+	}
+	for _, s := range t.seats {
+		for target, n := range s.committed {
+			free[target] -= n
+		}
+	}
+	return free
+}
+
+// allocate brings a seat's slots towards its due number.
+func (t *Table) allocate(s *seat, now time.Time) Allocation {
+	known := map[string]bool{}
+	for _, target := range t.layout.Targets {
+		known[target.Name] = true
+	}
+	for target := range s.told {
+		if !known[target] {
+			delete(s.told, target)
+		}
+	}
+	for over := total(s.told) - s.due; over > 0; over-- {
+		s.told[s.idlest()]--
+	}
+	if !t.warming(now) {
+		t.grow(s)
+	}
+	s.sequence++
+	for target, n := range s.told {
+		s.commit(target, n)
+	}
+	return s.allocation()
+}
+
+// idlest returns the target where the seat has most slots that it does not use.
+func (s *seat) idlest() string {
+	best := ""
+	for _, target := range slices.Sorted(maps.Keys(s.told)) {
+		if s.told[target] > 0 && (best == "" || s.told[target]-s.running[target] > s.told[best]-s.running[best]) {
+			best = target
+		}
+	}
+	return best
+}
+
+// grow gives free slots to the seat, each at the target with most of them.
+func (t *Table) grow(s *seat) {
+	free := t.free()
+	for lack := s.due - total(s.told); lack > 0; lack-- {
+		best := ""
+		for _, target := range t.layout.Targets {
+			// A slot that is still committed to this seat can be given back to it at once.
+			if n := free[target.Name] + s.committed[target.Name] - s.told[target.Name]; n > 0 && (best == "" || free[target.Name] > free[best]) {
+				best = target.Name
+			}
+		}
+		if best == "" {
+			return
+		}
+		s.told[best]++
+		if s.told[best] > s.committed[best] {
+			s.commit(best, s.told[best])
+			free[best]--
+		}
+	}
+}
+
+func (s *seat) allocation() Allocation {
+	a := Allocation{Sequence: s.sequence}
+	for _, target := range slices.Sorted(maps.Keys(s.told)) {
+		if s.told[target] > 0 {
+			a.Credits = append(a.Credits, Credit{Target: target, Slots: s.told[target]})
+		}
+	}
+	for _, team := range slices.Sorted(maps.Keys(s.quotas)) {
+		a.Quotas = append(a.Quotas, Quota{Team: team, Slots: s.quotas[team]})
+	}
+	return a
+}
+
+func total(slots map[string]int) int {
+	sum := 0
+	for _, n := range slots {
+		sum += n
+	}
+	return sum
+}
--- a/entry/node.go
+++ b/entry/node.go
@@ -20,9 +20,9 @@
 	"lavenderwing.example/lavenderwing/claim"
 	"lavenderwing.example/lavenderwing/conns"
 	"lavenderwing.example/lavenderwing/event"
-	"lavenderwing.example/lavenderwing/fleet"
 	"lavenderwing.example/lavenderwing/fold"
 	"lavenderwing.example/lavenderwing/follow"
+	"lavenderwing.example/lavenderwing/peer"
 	"lavenderwing.example/lavenderwing/plat"
 )
 
@@ -62,6 +62,15 @@
 	units   map[string]*teamUnits
 	budgets map[admit.Service]*admit.Budget
 	version int64
+	// seats are the live entry processes, and suspects those that did not answer until a time.
+	seats      []string
+	suspects   map[string]time.Time
+	exchangers map[string]*exchanger
+
+	home      *home
+	peers     *peer.Client
+	peerBytes atomic.Int64
+	toldFresh atomic.Int64
 
 	poolMu sync.Mutex
 	pools  map[string]*conns.Pool
@@ -108,6 +117,8 @@
 		units:         map[string]*teamUnits{},
 		budgets:       map[admit.Service]*admit.Budget{},
 		pools:         map[string]*conns.Pool{},
+		suspects:      map[string]time.Time{},
+		exchangers:    map[string]*exchanger{},
 	}
 	for _, opt := range opts {
 		opt(n)
@@ -115,6 +126,8 @@
 	n.line = event.New(settings.Listen, settings.Zone, id, event.WithClock(n.clock))
 	n.rows = admit.New(admit.WithNotes(n.note))
 	n.counters = newCounters(n.metrics)
+	n.home = newHome(n.clock)
+	n.peers = peer.NewClient(settings.Source, settings.PeerSecret, &n.peerBytes)
 	n.follow()
 	n.current.Store(viewOf(fold.New(), n.rows))
 	n.server = n.newServer()
@@ -165,39 +178,12 @@
 			n.rows.SetUsable(open, openLimit)
 		}
 		n.unitsOf(t)
+		n.exchangersOf(t)
+		n.home.configure(layoutsOf(t))
 		n.current.Store(viewOf(t, n.rows))
 		n.line.Add(event.KindConfig, "version", "log", "")
 	}
-	n.divideSlots(t)
-}
-
-// divideSlots gives each live entry process an equal part of each target's slots.
-func (n *Node) divideSlots(t fold.Tables) {
-	var live []fleet.Member
-	mine := -1
-	for _, m := range t.Members() {
-		if !m.Live {
-			continue
-		}
-		if m.Seat == n.settings.Seat {
-			mine = len(live)
-		}
-		live = append(live, m)
-	}
-	for i, h := range t.Hosts.All() {
-		row, ok := n.rows.Target(h.Name)
-		if !ok {
-			continue
-		}
-		credit := 0
-		if mine >= 0 {
-			credit = h.Slots / len(live)
-			if (mine+i)%len(live) < h.Slots%len(live) {
-				credit++
-			}
-		}
-		n.rows.SetCredit(row, credit)
-	}
+	n.seats = seatsOf(t)
 }
 
 // Run serves until ctx ends, and then stops gracefully.
@@ -206,6 +192,15 @@
 	if err != nil {
 		return trace.Wrap(err, "listening on %s", n.settings.Listen)
 	}
+	peers, err := peer.NewServer(n, n.settings.PeerSecret, &n.peerBytes)
+	if err != nil {
+		return err
+	}
+	if err := peers.Listen(n.settings.Seat); err != nil {
+		return err
+	}
+	defer peers.Close()
+	go peers.Serve()
 	background, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	n.line.Add(event.KindStart, n.settings.Seat, "", "")
@@ -246,6 +241,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.keepLimits(now)
+	n.exchangeSlots(now)
 	n.rows.Tick(now)
 }
 
--- a/entry/request.go
+++ b/entry/request.go
@@ -128,8 +128,3 @@
 	defer n.mu.Unlock()
 	return n.rows.Team(openTeam)
 }
-
-// mayTrustKeys reports whether the configuration is recent enough to decide on keys.
-func (n *Node) mayTrustKeys(now time.Time) bool {
-	return now.Sub(n.stateTail.AtEnd()) <= n.settings.FreshFor+n.settings.IsolatedFor
-}
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -40,6 +40,9 @@
 	// RetryPercent is how many retries each hundred first tries allow.
 	RetryPercent int
 
+	// PeerSecret is shared by all entry processes of a fleet.
+	PeerSecret string
+
 	// Operators maps each operator's name to the SHA-256 sum of a token.
 	Operators map[string][]byte
 }
@@ -90,6 +93,7 @@
 		ReadWait:     limits.Duration("readWait", defaultReadWait, shortest, longest),
 		MaxCallers:   limits.Int("maxCallers", defaultMaxCallers, 1, most),
 		RetryPercent: limits.Int("retryPercent", defaultRetries, 0, percent),
+		PeerSecret:   file.Section("peers").String("secret", ""),
 		Operators:    map[string][]byte{},
 	}
 	for _, name := range file.Named("operator") {
--- /dev/null
+++ b/entry/slots.go
@@ -0,0 +1,176 @@
+package entry
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"lavenderwing.example/lavenderwing/admit"
+	"lavenderwing.example/lavenderwing/alloc"
+	"lavenderwing.example/lavenderwing/event"
+	"lavenderwing.example/lavenderwing/fold"
+	"lavenderwing.example/lavenderwing/peer"
+)
+
+// Times of the exchange of demand and slots.
+const (
+	// holdFor is how long an allocator holds an answer that has nothing new.
+	holdFor = time.Second
+	// answerWait is how long a peer may take beyond the hold.
+	answerWait = 500 * time.Millisecond
+	// suspectFor is how long a peer that did not answer is not asked again.
+	suspectFor = 2 * time.Second
+	// lackPeriod and changePeriod are the shortest times between two reports while work waits, and otherwise.
+	lackPeriod   = 20 * time.Millisecond
+	changePeriod = 100 * time.Millisecond
+)
+
+// exchanger is this process's side of the division of one service's slots.
+type exchanger struct {
+	name    string
+	service admit.Service
+	home    string
+	applied uint64
+	// calls is the number of exchanges under way.
+	calls   int
+	sent    time.Time
+	demands []alloc.Demand
+}
+
+// layoutsOf returns what allocators need to know of each service.
+func layoutsOf(t fold.Tables) map[string]alloc.Layout {
+	weights := map[string]int{openTeam: 1}
+	for _, team := range t.Teams.All() {
+		weights[team.Name] = team.Share
+	}
+	targets := map[string][]alloc.Target{}
+	for _, h := range t.Hosts.All() {
+		if !h.Draining {
+			targets[h.Pool] = append(targets[h.Pool], alloc.Target{Name: h.Name, Slots: h.Slots})
+		}
+	}
+	layouts := map[string]alloc.Layout{}
+	for _, s := range t.Services.All() {
+		layouts[s.Name] = alloc.Layout{Targets: targets[s.Pool], Weights: weights}
+	}
+	return layouts
+}
+
+// homeOf returns the live seat that divides a service's slots: the highest by hash among those that are not suspected.
+func homeOf(service string, seats []string, suspected func(seat string) bool) string {
+	best := ""
+	var most uint64
+	for _, seat := range seats {
+		if suspected(seat) {
+			continue
+		}
+		if h := xxhash.Sum64String(service + "\x00" + seat); best == "" || h > most {
+			best, most = seat, h
+		}
+	}
+	return best
+}
+
+// exchangeSlots sends a report for each service whose demand has changed or whose held call has returned.
+func (n *Node) exchangeSlots(now time.Time) {
+	for _, x := range n.exchangers {
+		demands := n.rows.Demands(x.service)
+		lacking := n.rows.Lacking(x.service)
+		changed := !slices.Equal(demands, x.demands)
+		since := now.Sub(x.sent)
+		urgent := lacking && changed && since >= lackPeriod
+		if x.calls >= 2 || !(x.calls == 0 || urgent || changed && since >= changePeriod) {
+			continue
+		}
+		x.demands = demands
+		x.sent = now
+		n.startExchange(x, now)
+	}
+}
+
+func (n *Node) startExchange(x *exchanger, now time.Time) {
+	seat := homeOf(x.name, n.seats, func(seat string) bool { return now.Before(n.suspects[seat]) })
+	if seat == "" {
+		return
+	}
+	if seat != x.home {
+		n.line.Add(event.KindAllocate, x.name, x.home, "slots are divided by "+seat)
+		x.home = seat
+	}
+	report := alloc.Report{
+		Service: x.name, Seat: n.settings.Seat, Incarnation: n.writerID,
+		Applied: x.applied, Demands: x.demands, Uses: n.rows.Uses(x.service),
+	}
+	x.calls++
+	go n.exchange(x, seat, peer.Exchange{Report: report, HoldMs: int(holdFor.Milliseconds()), FreshMs: n.freshAge(now).Milliseconds()})
+}
+
+func (n *Node) exchange(x *exchanger, seat string, args peer.Exchange) {
+	var reply peer.Exchanged
+	var err error
+	if seat == n.settings.Seat {
+		reply = n.Exchange(args)
+	} else {
+		reply, err = n.peers.Exchange(seat, args, holdFor+answerWait)
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	x.calls--
+	if err != nil {
+		n.suspects[seat] = n.clock.Now().Add(suspectFor)
+		n.line.Add(event.KindMember, seat, x.name, "no answer: "+err.Error())
+		return
+	}
+	n.heard(reply.FreshMs)
+	n.apply(x, reply.Allocation)
+}
+
+// apply puts an allocation in use unless a newer one came first.
+func (n *Node) apply(x *exchanger, a alloc.Allocation) {
+	if a.Sequence <= x.applied {
+		return
+	}
+	x.applied = a.Sequence
+	credits := make(map[string]int, len(a.Credits))
+	for _, c := range a.Credits {
+		credits[c.Target] = c.Slots
+	}
+	n.rows.SetCredits(x.service, credits)
+	quotas := make(map[string]int, len(a.Quotas))
+	for _, q := range a.Quotas {
+		quotas[q.Team] = q.Slots
+	}
+	n.rows.SetQuotas(x.service, quotas)
+	n.rows.Dispatch(x.service)
+}
+
+// Exchange answers another entry process, or this one, as the allocator of a service.
+func (n *Node) Exchange(args peer.Exchange) peer.Exchanged {
+	n.mu.Lock()
+	n.heard(args.FreshMs)
+	n.mu.Unlock()
+	a := n.home.exchange(args.Report, time.Duration(args.HoldMs)*time.Millisecond)
+	return peer.Exchanged{Allocation: a, FreshMs: n.freshAge(n.clock.Now()).Milliseconds()}
+}
+
+// exchangersOf brings the list of services up to date.
+func (n *Node) exchangersOf(t fold.Tables) {
+	for _, s := range t.Services.All() {
+		if n.exchangers[s.Name] == nil {
+			row, _ := n.rows.Service(s.Name)
+			n.exchangers[s.Name] = &exchanger{name: s.Name, service: row}
+		}
+	}
+}
+
+// seatsOf returns the live seats in order.
+func seatsOf(t fold.Tables) []string {
+	var seats []string
+	for _, m := range t.Members() {
+		if m.Live {
+			seats = append(seats, m.Seat)
+		}
+	}
+	return seats
+}
--- a/entry/status.go
+++ b/entry/status.go
@@ -22,6 +22,10 @@
 	TrustsKeys bool           `json:"trustsKeys"`
 	Claims     int            `json:"claims"`
 	Appends    int64          `json:"appends"`
+	// PeerBytes counts what was sent to and received from other entry processes.
+	PeerBytes int64 `json:"peerBytes"`
+	// LogBytes counts the log entries read.
+	LogBytes int64 `json:"logBytes"`
 	Members    []fleet.Member `json:"members"`
 	Teams      []TeamStatus   `json:"teams"`
 }
@@ -44,12 +48,14 @@
 		Incarnation: n.incarnation(),
 		Offset:      t.Offset(),
 		Version:     t.Config(),
-		FreshMs:     now.Sub(n.stateTail.AtEnd()).Milliseconds(),
+		FreshMs:     n.freshAge(now).Milliseconds(),
 		Ready:       n.ready(),
 		LeaseValid:  n.lease.valid(now),
 		TrustsKeys:  n.mayTrustKeys(now),
 		Claims:      n.claims.Len(),
 		Appends:     n.writer.Appends() + n.claimWriter.Appends(),
+		PeerBytes:   n.peerBytes.Load(),
+		LogBytes:    n.stateTail.BytesRead() + n.claimTail.BytesRead(),
 		Members:     t.Members(),
 	}
 	n.mu.Lock()
--- /dev/null
+++ b/peer/client.go
@@ -0,0 +1,83 @@
+package peer
+
+import (
+	"net"
+	"net/rpc"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/gravitational/trace"
+)
+
+// dialTimeout bounds the opening of a connection to a peer.
+const dialTimeout = 300 * time.Millisecond
+
+// Client calls other entry processes, over one connection each.
+type Client struct {
+	source net.IP
+	secret string
+	bytes  *atomic.Int64
+
+	mu    sync.Mutex
+	peers map[string]*rpc.Client
+}
+
+// NewClient returns a client that sends from the source address, unless it is nil.
+func NewClient(source net.IP, secret string, bytes *atomic.Int64) *Client {
+	return &Client{source: source, secret: secret, bytes: bytes, peers: map[string]*rpc.Client{}}
+}
+
+// Exchange calls the peer at the seat and waits at most the given time.
+func (c *Client) Exchange(seat string, args Exchange, wait time.Duration) (Exchanged, error) {
+	client, err := c.connect(seat)
+	if err != nil {
+		return Exchanged{}, err
+	}
+	var reply Exchanged
+	call := client.Go(method, &args, &reply, make(chan *rpc.Call, 1))
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-call.Done:
+		if call.Error != nil {
+			c.drop(seat, client)
+		}
+		return reply, call.Error
+	case <-timer.C:
+		c.drop(seat, client)
+		return Exchanged{}, &SilentError{Seat: seat}
+	}
+}
+
+func (c *Client) connect(seat string) (*rpc.Client, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if client := c.peers[seat]; client != nil {
+		return client, nil
+	}
+	dialer := net.Dialer{Timeout: dialTimeout}
+	if c.source != nil {
+		dialer.LocalAddr = &net.TCPAddr{IP: c.source}
+	}
+	conn, err := dialer.Dial("tcp", seat)
+	if err != nil {
+		return nil, trace.Wrap(err, "calling peer %s", seat)
+	}
+	if _, err := conn.Write(greeting(c.secret)); err != nil {
+		_ = conn.Close()
+		return nil, trace.Wrap(err, "greeting peer %s", seat)
+	}
+	client := rpc.NewClient(&counted{Conn: conn, bytes: c.bytes})
+	c.peers[seat] = client
+	return client, nil
+}
+
+func (c *Client) drop(seat string, client *rpc.Client) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.peers[seat] == client {
+		delete(c.peers, seat)
+	}
+	_ = client.Close()
+}
--- /dev/null
+++ b/peer/doc.go
@@ -0,0 +1,2 @@
+// Package peer carries calls between entry processes over net/rpc.
+package peer
