Divisions of slots are kept where they still fit, and confirmed once

Cause of idle slots (2.95% of a pool): two. Credits followed each wobble of demand; and a seat's word on an allocation never confirmed it while newer calls raised the sequence, so that slots it no longer had stayed committed to it. A look into the running fleet showed credits of 55 for 64 slots.

Ruled out: limits (usable units were above what ran) and health (no target was ejected).

Change: quotas that still fit stay; a team's slots rotate over seats when there are fewer than seats; an unchanged allocation keeps its sequence.

--- a/admit/demand.go
+++ b/admit/demand.go
@@ -30,6 +30,15 @@
 	return row.waiting > 0 && len(row.free) == 0
 }
 
+// Excess returns the slots in use beyond the credits of a service's targets.
+func (t *Table) Excess(s Service) int {
+	excess := 0
+	for _, i := range t.services[s].targets {
+		excess += max(t.targets[i].running-t.targets[i].credit, 0)
+	}
+	return excess
+}
+
 // Uses returns this process's part of each target of a service.
 func (t *Table) Uses(s Service) []alloc.Use {
 	var uses []alloc.Use
--- a/alloc/table.go
+++ b/alloc/table.go
@@ -14,6 +14,8 @@
 	Silence = 3 * time.Second
 	// warmup is how long a new allocator only confirms what seats say they have.
 	warmup = 500 * time.Millisecond
+	// rotation is how often a team's slots change seats when there are fewer than seats.
+	rotation = 250 * time.Millisecond
 )
 
 // seat is one entry process as the allocator of a service sees it.
@@ -29,6 +31,8 @@
 	// committed is the most slots that the seat may occupy at each target until it confirms less.
 	committed map[string]int
 	quotas    map[string]int
+	// sent is the quotas of the newest allocation.
+	sent map[string]int
 	// due is the number of slots that the seat should have now.
 	due int
 }
@@ -38,6 +42,8 @@
 	layout  Layout
 	seats   map[string]*seat
 	started time.Time
+	rotated time.Time
+	turn    int
 }
 
 // New returns an allocator that has heard nothing.
@@ -53,7 +59,7 @@
 	}
 	s := t.hear(r, now)
 	t.forget(now)
-	t.divide()
+	t.divide(now)
 	return t.allocate(s, now)
 }
 
@@ -63,9 +69,9 @@
 	if s == nil {
 		return Allocation{}, false
 	}
-	before := maps.Clone(s.told)
+	before := s.sequence
 	a := t.allocate(s, now)
-	return a, !maps.Equal(before, s.told)
+	return a, s.sequence != before
 }
 
 // Stirred returns the other seats whose slots should change, sorted.
@@ -92,7 +98,7 @@
 func (t *Table) hear(r Report, now time.Time) *seat {
 	s := t.seats[r.Seat]
 	if s == nil || s.incarnation != r.Incarnation {
-		s = &seat{name: r.Seat, incarnation: r.Incarnation}
+		s = &seat{name: r.Seat, incarnation: r.Incarnation, quotas: map[string]int{}}
 		s.adopt(r)
 		t.seats[r.Seat] = s
 	}
@@ -145,7 +151,7 @@
 }
 
 // divide sets each seat's quotas and due slots: max-min fair over teams by weight, then over seats by demand.
-func (t *Table) divide() {
+func (t *Table) divide(now time.Time) {
 	names := slices.Sorted(maps.Keys(t.seats))
 	capacity := 0
 	for _, target := range t.layout.Targets {
@@ -162,13 +168,16 @@
 	share.Divide(capacity, claims)
 	given := 0
 	for _, s := range t.seats {
-		s.quotas = map[string]int{}
-		s.due = 0
+		maps.DeleteFunc(s.quotas, func(team string, _ int) bool { return s.demands[team] == 0 })
 	}
 	for i, team := range teams {
 		given += claims[i].Got
 		t.split(team, claims[i].Got, names)
 	}
+	t.rotate(teams, names, now)
+	for _, s := range t.seats {
+		s.due = total(s.quotas)
+	}
 	t.spread(capacity-given, names)
 }
 
@@ -185,18 +194,50 @@
 	return slices.Sorted(maps.Keys(set))
 }
 
-// split divides a team's slots over the seats where it wants them.
+// split divides a team's slots over the seats where it wants them, and keeps what still fits of the earlier division, because a slot is idle while it moves.
 func (t *Table) split(team string, slots int, names []string) {
-	claims := make([]share.Claim, len(names))
+	kept := make([]share.Claim, len(names))
 	for i, name := range names {
-		want := t.seats[name].demands[team]
-		claims[i] = share.Claim{Want: want, Weight: want}
+		s := t.seats[name]
+		kept[i].Want = min(s.quotas[team], s.demands[team])
 	}
-	share.Divide(slots, claims)
+	share.Divide(slots, kept)
+	more := make([]share.Claim, len(names))
 	for i, name := range names {
-		if claims[i].Got > 0 {
-			t.seats[name].quotas[team] = claims[i].Got
-			t.seats[name].due += claims[i].Got
+		more[i].Want = t.seats[name].demands[team] - kept[i].Got
+		slots -= kept[i].Got
+	}
+	share.Divide(slots, more)
+	for i, name := range names {
+		s := t.seats[name]
+		delete(s.quotas, team)
+		if got := kept[i].Got + more[i].Got; got > 0 {
+			s.quotas[team] = got
+		}
+	}
+}
+
+// rotate passes one slot of each team from the seat with most to a seat with none, so that no seat's requests are passed over for ever.
+func (t *Table) rotate(teams, names []string, now time.Time) {
+	if now.Sub(t.rotated) < rotation {
+		return
+	}
+	t.rotated = now
+	t.turn++
+	for _, team := range teams {
+		var rich, poor *seat
+		for i := range names {
+			s := t.seats[names[(i+t.turn)%len(names)]]
+			if rich == nil || s.quotas[team] > rich.quotas[team] {
+				rich = s
+			}
+			if s.quotas[team] == 0 && s.demands[team] > 0 {
+				poor = s
+			}
+		}
+		if poor != nil && rich.quotas[team] > 0 {
+			rich.quotas[team]--
+			poor.quotas[team]++
 		}
 	}
 }
@@ -228,6 +269,7 @@
 
 // allocate brings a seat's slots towards its due number.
 func (t *Table) allocate(s *seat, now time.Time) Allocation {
+	before := maps.Clone(s.told)
 	known := map[string]bool{}
 	for _, target := range t.layout.Targets {
 		known[target.Name] = true
@@ -243,10 +285,14 @@
 	if !t.warming(now) {
 		t.grow(s)
 	}
-	s.sequence++
 	for target, n := range s.told {
 		s.commit(target, n)
 	}
+	// An unchanged allocation keeps its sequence, so that the seat's word on the earlier one still confirms it.
+	if !maps.Equal(before, s.told) || !maps.Equal(s.sent, s.quotas) {
+		s.sequence++
+		s.sent = maps.Clone(s.quotas)
+	}
 	return s.allocation()
 }
 
--- a/entry/slots.go
+++ b/entry/slots.go
@@ -36,6 +36,8 @@
 	calls   int
 	sent    time.Time
 	demands []alloc.Demand
+	// excess is the number of slots in use beyond the credits at the last report.
+	excess int
 }
 
 // layoutsOf returns what allocators need to know of each service.
@@ -78,12 +80,14 @@
 		demands := n.rows.Demands(x.service)
 		lacking := n.rows.Lacking(x.service)
 		changed := !slices.Equal(demands, x.demands)
+		excess := n.rows.Excess(x.service)
 		since := now.Sub(x.sent)
-		urgent := lacking && changed && since >= lackPeriod
+		urgent := (lacking && changed || excess < x.excess) && since >= lackPeriod
 		if x.calls >= 2 || !(x.calls == 0 || urgent || changed && since >= changePeriod) {
 			continue
 		}
 		x.demands = demands
+		x.excess = excess
 		x.sent = now
 		n.startExchange(x, now)
 	}
--- a/entry/status.go
+++ b/entry/status.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/valyala/fasthttp"
 
+	"lavenderwing.example/lavenderwing/admit"
 	"lavenderwing.example/lavenderwing/fleet"
 )
 
@@ -28,6 +29,8 @@
 	LogBytes int64 `json:"logBytes"`
 	Members    []fleet.Member `json:"members"`
 	Teams      []TeamStatus   `json:"teams"`
+
+	Services []admit.ServiceLoad `json:"services"`
 }
 
 // TeamStatus is one team's use of this entry process.
@@ -70,5 +73,6 @@
 			Team: team.Name, Held: u.hold.Held(), Usable: n.rows.Usable(u.row), Running: running, Waiting: waiting,
 		})
 	}
+	reply.Services = n.rows.Loads()
 	writeJSON(ctx, fasthttp.StatusOK, reply)
 }
