Teams' entitlement known at each entry process; two baselines kept as a setting

Cause: a team below its share whose request came to a seat without a quota waited for two exchanges and a finished request, about 70 ms of a 200 ms run; the team with the smallest demand ran 3.07% of the pool below its ideal.

Change: allocations carry the level per weight and what a team could still have at any seat, so the seat's next free slot goes to it at once. Settings keep two simpler policies: division = weight, division = even.

--- a/admit/configure.go
+++ b/admit/configure.go
@@ -68,9 +68,6 @@
 // SetUsable sets how many slots a team may occupy through this entry process.
 func (t *Table) SetUsable(i Team, usable int) { t.teams[i].usable = usable }
 
-// SetQuota sets how many slots of a service a team may run here before other teams that wait.
-func (t *Table) SetQuota(s Service, i Team, quota int) { t.lane(s, i).quota = quota }
-
 // refresh puts a target on or off its service's list of free targets.
 func (t *Table) refresh(i Target) {
 	if t.targets[i].spare() > 0 {
--- a/admit/demand.go
+++ b/admit/demand.go
@@ -58,11 +58,23 @@
 	}
 }
 
-// SetQuotas replaces the slots that each team should have here at a service.
-func (t *Table) SetQuotas(s Service, quotas map[string]int) {
-	for i, l := range t.services[s].lanes {
+// SetQuotas replaces the slots that each team should have here at a service before others; teams not named may have what the level allows.
+func (t *Table) SetQuotas(s Service, a alloc.Allocation) {
+	row := &t.services[s]
+	row.level = a.Level
+	for _, l := range row.lanes {
 		if l != nil {
-			l.quota = quotas[t.teamNames.list[i]]
+			l.quota = t.levelQuota(row, l.team)
+		}
+	}
+	for _, q := range a.Quotas {
+		if i, ok := t.teamNames.byName[q.Team]; ok {
+			t.lane(s, i).quota = q.Slots + q.Spare
 		}
 	}
 }
+
+// levelQuota returns what a team may have that its service's allocator has not heard of.
+func (t *Table) levelQuota(row *service, i Team) int {
+	return int(row.level * float64(t.teams[i].weight))
+}
--- a/admit/table.go
+++ b/admit/table.go
@@ -28,6 +28,8 @@
 	ejected int
 	running int
 	waiting int
+	// level is the number of slots per weight up to which a team is served before others.
+	level float64
 }
 
 // linger is a request that was given up while its target may still run it.
@@ -122,7 +124,7 @@
 		row.lanes = append(row.lanes, nil)
 	}
 	if row.lanes[i] == nil {
-		row.lanes[i] = &lane{team: i, active: -1}
+		row.lanes[i] = &lane{team: i, active: -1, quota: t.levelQuota(row, i)}
 	}
 	return row.lanes[i]
 }
--- a/alloc/report.go
+++ b/alloc/report.go
@@ -31,6 +31,8 @@
 	Sequence uint64
 	Credits  []Credit
 	Quotas   []Quota
+	// Level is the number of slots per weight up to which a team is served before others.
+	Level float64
 }
 
 // Credit is the number of slots of a target that the seat may occupy.
@@ -43,4 +45,6 @@
 type Quota struct {
 	Team  string
 	Slots int
+	// Spare is the number of slots that the team could have beyond all it wants now, at any seat.
+	Spare int
 }
--- a/alloc/table.go
+++ b/alloc/table.go
@@ -43,6 +43,8 @@
 	seats   map[string]*seat
 	started time.Time
 	rotated time.Time
+	level   float64
+	spare   map[string]int
 	turn    int
 }
 
@@ -166,6 +168,7 @@
 		}
 	}
 	share.Divide(capacity, claims)
+	t.measure(capacity, claims, teams)
 	given := 0
 	for _, s := range t.seats {
 		maps.DeleteFunc(s.quotas, func(team string, _ int) bool { return s.demands[team] == 0 })
@@ -181,6 +184,20 @@
 	t.spread(capacity-given, names)
 }
 
+// measure finds the level to which teams that lack slots were served, and what each team could have beyond its demand.
+func (t *Table) measure(capacity int, claims []share.Claim, teams []string) {
+	t.level = float64(capacity)
+	for _, c := range claims {
+		if c.Got < c.Want {
+			t.level = min(t.level, float64(c.Got+1)/float64(c.Weight))
+		}
+	}
+	t.spare = make(map[string]int, len(teams))
+	for i, team := range teams {
+		t.spare[team] = max(0, int(t.level*float64(claims[i].Weight))-claims[i].Want)
+	}
+}
+
 // teams returns all teams with demand, sorted.
 func (t *Table) teams() []string {
 	set := map[string]bool{}
@@ -293,7 +310,7 @@
 		s.sequence++
 		s.sent = maps.Clone(s.quotas)
 	}
-	return s.allocation()
+	return t.allocation(s)
 }
 
 // idlest returns the target where the seat has most slots that it does not use.
@@ -329,15 +346,15 @@
 	}
 }
 
-func (s *seat) allocation() Allocation {
-	a := Allocation{Sequence: s.sequence}
+func (t *Table) allocation(s *seat) Allocation {
+	a := Allocation{Sequence: s.sequence, Level: t.level}
 	for _, target := range slices.Sorted(maps.Keys(s.told)) {
 		if s.told[target] > 0 {
 			a.Credits = append(a.Credits, Credit{Target: target, Slots: s.told[target]})
 		}
 	}
-	for _, team := range slices.Sorted(maps.Keys(s.quotas)) {
-		a.Quotas = append(a.Quotas, Quota{Team: team, Slots: s.quotas[team]})
+	for _, team := range slices.Sorted(maps.Keys(s.demands)) {
+		a.Quotas = append(a.Quotas, Quota{Team: team, Slots: s.quotas[team], Spare: t.spare[team]})
 	}
 	return a
 }
--- a/conf/file.go
+++ b/conf/file.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net"
+	"slices"
 	"strings"
 	"time"
 
@@ -184,6 +185,18 @@
 	return b
 }
 
+// OneOf returns one of the allowed values, the first of which stands for an absent key.
+func (s *Section) OneOf(key string, allowed ...string) string {
+	value, ok := s.value(key)
+	if !ok {
+		return allowed[0]
+	}
+	if !slices.Contains(allowed, value) {
+		s.reject(key, value, "one of "+strings.Join(allowed, ", "))
+	}
+	return value
+}
+
 // List returns the comma-separated values.
 func (s *Section) List(key string) []string {
 	value, ok := s.value(key)
--- a/entry/node.go
+++ b/entry/node.go
@@ -184,6 +184,9 @@
 		n.line.Add(event.KindConfig, "version", "log", "")
 	}
 	n.seats = seatsOf(t)
+	if n.settings.Division == DivideEvenly {
+		n.divideEvenly(t)
+	}
 }
 
 // Run serves until ctx ends, and then stops gracefully.
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -19,6 +19,9 @@
 	// Source is the local address of outgoing connections, or nil.
 	Source net.IP
 
+	// Division is how slots are divided over entry processes.
+	Division Division
+
 	// Lease is how long elastic units of limits stay good after a renewal is sent.
 	Lease time.Duration
 	// Tick is the period of the systems that run over the tables.
@@ -47,6 +50,19 @@
 	Operators map[string][]byte
 }
 
+// Division is a policy of dividing slots over entry processes.
+type Division string
+
+// The policies; all but the first serve as baselines.
+const (
+	// DivideByDemand gives slots by max-min fairness over teams in the whole fleet.
+	DivideByDemand Division = "demand"
+	// DivideByWeight gives slots by demand, and lets each process weigh teams by itself.
+	DivideByWeight Division = "weight"
+	// DivideEvenly gives each process the same slots, and lets it weigh teams by itself.
+	DivideEvenly Division = "even"
+)
+
 // Defaults and bounds of the settings.
 const (
 	defaultLease       = 6 * time.Second
@@ -82,6 +98,7 @@
 		Zone:         main.Required("zone"),
 		Platform:     main.Address("platform"),
 		Source:       main.IP("source"),
+		Division:     Division(main.OneOf("division", string(DivideByDemand), string(DivideByWeight), string(DivideEvenly))),
 		Lease:        main.Duration("lease", defaultLease, time.Second, time.Hour),
 		Tick:         main.Duration("tick", defaultTick, shortest, time.Second),
 		Commit:       main.Duration("commit", defaultCommit, shortest, time.Second),
--- a/entry/slots.go
+++ b/entry/slots.go
@@ -76,6 +76,9 @@
 
 // exchangeSlots sends a report for each service whose demand has changed or whose held call has returned.
 func (n *Node) exchangeSlots(now time.Time) {
+	if n.settings.Division == DivideEvenly {
+		return
+	}
 	for _, x := range n.exchangers {
 		demands := n.rows.Demands(x.service)
 		lacking := n.rows.Lacking(x.service)
@@ -141,14 +144,28 @@
 		credits[c.Target] = c.Slots
 	}
 	n.rows.SetCredits(x.service, credits)
-	quotas := make(map[string]int, len(a.Quotas))
-	for _, q := range a.Quotas {
-		quotas[q.Team] = q.Slots
+	if n.settings.Division == DivideByDemand {
+		n.rows.SetQuotas(x.service, a)
 	}
-	n.rows.SetQuotas(x.service, quotas)
 	n.rows.Dispatch(x.service)
 }
 
+// divideEvenly gives this process the same part of each target's slots as every other live one.
+func (n *Node) divideEvenly(t fold.Tables) {
+	mine, live := slices.Index(n.seats, n.settings.Seat), len(n.seats)
+	for i, h := range t.Hosts.All() {
+		row, ok := n.rows.Target(h.Name)
+		if !ok || mine < 0 {
+			continue
+		}
+		credit := h.Slots / live
+		if (mine+i)%live < h.Slots%live {
+			credit++
+		}
+		n.rows.SetCredit(row, credit)
+	}
+}
+
 // Exchange answers another entry process, or this one, as the allocator of a service.
 func (n *Node) Exchange(args peer.Exchange) peer.Exchanged {
 	n.mu.Lock()
--- a/load/finish.go
+++ b/load/finish.go
@@ -21,7 +21,7 @@
 	}
 	report.Latency = percentilesOf(r.latency)
 	report.Wait = percentilesOf(r.wait)
-	report.Fairness = fairnessOf(r.samples)
+	report.Fairness = fairnessOf(r.settings.Teams, r.samples)
 	var totals stand.Totals
 	if err := r.get(stand.TotalsPath, &totals); err != nil {
 		return report, err
--- a/load/report.go
+++ b/load/report.go
@@ -35,8 +35,12 @@
 	Mean    float64 `json:"mean"`
 	P95     float64 `json:"p95"`
 	Max     float64 `json:"max"`
+	// Window is the largest deviation of a team's mean over one second.
+	Window float64 `json:"window"`
 	// IdleMean is the mean part of slots that were idle while work that could have run waited.
 	IdleMean float64 `json:"idleMean"`
+	// Beyond is what each team ran beyond its ideal in the mean.
+	Beyond map[string]float64 `json:"beyond"`
 }
 
 // Report is the result of a load run.
@@ -85,10 +89,10 @@
 	}
 	fmt.Fprintf(w, "latency of answered ms: p50 %.1f p99 %.1f p99.9 %.1f max %.1f\n", r.Latency.P50, r.Latency.P99, r.Latency.P999, r.Latency.Max)
 	fmt.Fprintf(w, "urgent start ms: p50 %.1f p99 %.1f p99.9 %.1f max %.1f (%d)\n", r.Wait.P50, r.Wait.P99, r.Wait.P999, r.Wait.Max, r.Wait.Count)
-	fmt.Fprintf(w, "share deviation %% of slots: mean %.2f p95 %.2f max %.2f, idle while waiting mean %.2f%% (%d samples of full pools)\n",
-		r.Fairness.Mean, r.Fairness.P95, r.Fairness.Max, r.Fairness.IdleMean, r.Fairness.Samples)
+	fmt.Fprintf(w, "share deviation %% of slots: mean %.2f p95 %.2f max %.2f, largest 1 s mean %.2f, idle while waiting mean %.2f%% (%d samples of full pools)\n",
+		r.Fairness.Mean, r.Fairness.P95, r.Fairness.Max, r.Fairness.Window, r.Fairness.IdleMean, r.Fairness.Samples)
 	for _, team := range slices.Sorted(maps.Keys(r.TeamPeaks)) {
-		fmt.Fprintf(w, "  team %-20s peak %d\n", team, r.TeamPeaks[team])
+		fmt.Fprintf(w, "  team %-20s peak %3d, beyond its ideal %+.2f%%\n", team, r.TeamPeaks[team], r.Fairness.Beyond[team])
 	}
 	fmt.Fprintf(w, "target busy refusals %d, double runs %d, false not-run %d, crossed answers %d, over limit %v\n",
 		r.Busy, r.DoubleRuns, r.FalseNotRun, r.CrossedReply, r.OverLimit)
--- a/load/sample.go
+++ b/load/sample.go
@@ -16,8 +16,12 @@
 
 // sample is one look at a full pool.
 type sample struct {
+	// window is the second of the run.
+	window    int
 	deviation float64
 	idle      float64
+	// teams holds what each team ran beyond its ideal, in percent of the pool's slots.
+	teams []float64
 }
 
 func (r *Run) sampleUntil(stop <-chan struct{}) {
@@ -46,6 +50,7 @@
 	defer r.mu.Unlock()
 	q := r.settings.Queues[r.turn(elapsed)]
 	if s, full := r.judge(q, totals.Occupied[q.Pool]); full {
+		s.window = int(elapsed / time.Second)
 		r.samples = append(r.samples, s)
 	}
 }
@@ -65,24 +70,19 @@
 		return sample{}, false
 	}
 	share.Divide(q.Slots, claims)
-	worst := 0
-	for i, t := range r.settings.Teams {
-		worst = max(worst, abs(occupied[t.Name]-claims[i].Got))
-	}
 	slots := float64(q.Slots)
-	return sample{deviation: percent * float64(worst) / slots, idle: percent * float64(max(q.Slots-used, 0)) / slots}, true
-}
-
-func abs(n int) int {
-	if n < 0 {
-		return -n
+	s := sample{idle: percent * float64(max(q.Slots-used, 0)) / slots}
+	for i, t := range r.settings.Teams {
+		beyond := percent * float64(occupied[t.Name]-claims[i].Got) / slots
+		s.teams = append(s.teams, beyond)
+		s.deviation = max(s.deviation, math.Abs(beyond))
 	}
-	return n
+	return s, true
 }
 
 // fairnessOf sums up all samples.
-func fairnessOf(samples []sample) Fairness {
-	f := Fairness{Samples: len(samples)}
+func fairnessOf(teams []TeamSettings, samples []sample) Fairness {
+	f := Fairness{Samples: len(samples), Beyond: map[string]float64{}}
 	if len(samples) == 0 {
 		return f
 	}
@@ -91,13 +91,36 @@
 		deviations = append(deviations, s.deviation)
 		f.Mean += s.deviation / float64(len(samples))
 		f.IdleMean += s.idle / float64(len(samples))
+		for i, t := range teams {
+			f.Beyond[t.Name] += s.teams[i] / float64(len(samples))
+		}
 	}
+	f.Window = windowDeviation(samples)
 	slices.Sort(deviations)
 	f.P95 = deviations[int(math.Ceil(0.95*float64(len(deviations))))-1]
 	f.Max = deviations[len(deviations)-1]
 	return f
 }
 
+// windowDeviation returns the largest deviation of a team's mean over one second.
+func windowDeviation(samples []sample) float64 {
+	worst := 0.0
+	for first := 0; first < len(samples); {
+		last := first
+		sums := make([]float64, len(samples[first].teams))
+		for ; last < len(samples) && samples[last].window == samples[first].window; last++ {
+			for i, beyond := range samples[last].teams {
+				sums[i] += beyond
+			}
+		}
+		for _, sum := range sums {
+			worst = max(worst, math.Abs(sum)/float64(last-first))
+		}
+		first = last
+	}
+	return worst
+}
+
 func (r *Run) get(path string, value any) error {
 	status, body, err := fasthttp.GetTimeout(nil, "http://"+r.settings.Standin+path, r.settings.Turn)
 	return decode(path, status, body, err, value)
