--- a/entry/node.go
+++ b/entry/node.go
@@ -24,6 +24,7 @@
 	"lavenderwing.example/lavenderwing/follow"
 	"lavenderwing.example/lavenderwing/peer"
 	"lavenderwing.example/lavenderwing/plat"
+	"lavenderwing.example/lavenderwing/seat"
 )
 
 // hashSize is the length of an operator token's hash in bytes.
@@ -42,24 +43,19 @@
 	// writerID stays the same through rejoins, because the writer's sequence does.
 	writerID string
 
-	identity      sync.Mutex
-	incarnationID string
-	joinedAt      time.Time
-
 	writer      *follow.Writer
 	claimWriter *follow.Writer
 	state       *follow.State
 	claims      *claim.Table
 	stateTail   *follow.Tail
 	claimTail   *follow.Tail
-	lease       lease
 	current     atomic.Pointer[view]
-	watch       map[string]watched
 
 	// mu guards the tables below.
 	mu      sync.Mutex
 	rows    *admit.Table
-	units   map[string]*teamUnits
+	keeper  *seat.Keeper
+	limited []limited
 	budgets map[admit.Service]*admit.Budget
 	version int64
 	// seats are the live entry processes, and suspects those that did not answer until a time.
@@ -106,25 +102,24 @@
 func New(settings Settings, platform plat.Log, opts ...Option) *Node {
 	id := newIncarnation()
 	n := &Node{
-		settings:      settings,
-		platform:      platform,
-		clock:         clockwork.NewRealClock(),
-		log:           zap.NewNop(),
-		metrics:       tally.NoopScope,
-		writerID:      id,
-		incarnationID: id,
-		watch:         map[string]watched{},
-		units:         map[string]*teamUnits{},
-		budgets:       map[admit.Service]*admit.Budget{},
-		pools:         map[string]*conns.Pool{},
-		suspects:      map[string]time.Time{},
-		exchangers:    map[string]*exchanger{},
+		settings:   settings,
+		platform:   platform,
+		clock:      clockwork.NewRealClock(),
+		log:        zap.NewNop(),
+		metrics:    tally.NoopScope,
+		writerID:   id,
+		budgets:    map[admit.Service]*admit.Budget{},
+		pools:      map[string]*conns.Pool{},
+		suspects:   map[string]time.Time{},
+		exchangers: map[string]*exchanger{},
 	}
 	for _, opt := range opts {
 		opt(n)
 	}
 	n.line = event.New(settings.Listen, settings.Zone, id, event.WithClock(n.clock))
 	n.rows = admit.New(admit.WithNotes(n.note))
+	place := seat.Place{Seat: settings.Seat, Zone: settings.Zone, Address: settings.Listen}
+	n.keeper = seat.New(place, settings.Lease, id, newIncarnation)
 	n.counters = newCounters(n.metrics)
 	n.home = newHome(n.clock)
 	n.peers = peer.NewClient(settings.Source, settings.PeerSecret, &n.peerBytes)
@@ -154,12 +149,6 @@
 
 func newIncarnation() string { return uuid.Must(uuid.NewV7()).String() }
 
-func (n *Node) incarnation() string {
-	n.identity.Lock()
-	defer n.identity.Unlock()
-	return n.incarnationID
-}
-
 func (n *Node) view() *view { return n.current.Load() }
 
 func (n *Node) note(note admit.Note) {
@@ -177,7 +166,7 @@
 		if open, ok := n.rows.Team(openTeam); ok {
 			n.rows.SetUsable(open, openLimit)
 		}
-		n.unitsOf(t)
+		n.limited = n.limitedOf(t)
 		n.exchangersOf(t)
 		n.home.configure(layoutsOf(t))
 		n.current.Store(viewOf(t, n.rows))
@@ -237,12 +226,9 @@
 
 // tick runs each system once over the tables.
 func (n *Node) tick(now time.Time) {
-	if !n.stopping.Load() {
-		n.keepLease(now)
-		n.expireOthers(now)
-	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	n.keepLease(now)
 	n.keepLimits(now)
 	n.exchangeSlots(now)
 	n.rows.Tick(now)
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -165,11 +165,11 @@
 
 // withinUnits reports whether the units in force right now still cover everything that the team runs here.
 func (n *Node) withinUnits(w *admit.Waiter, now time.Time) bool {
-	if n.lease.valid(now) {
-		return true
-	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if n.keeper.Valid(now) {
+		return true
+	}
 	n.keepLimits(now)
 	return n.rows.WithinUsable(w.Team)
 }
--- a/entry/status.go
+++ b/entry/status.go
@@ -17,18 +17,18 @@
 	// Version is the configuration in force.
 	Version int64 `json:"version"`
 	// FreshMs is the age of the newest evidence of the log's end.
-	FreshMs    int64          `json:"freshMs"`
-	Ready      bool           `json:"ready"`
-	LeaseValid bool           `json:"leaseValid"`
-	TrustsKeys bool           `json:"trustsKeys"`
-	Claims     int            `json:"claims"`
-	Appends    int64          `json:"appends"`
+	FreshMs    int64 `json:"freshMs"`
+	Ready      bool  `json:"ready"`
+	LeaseValid bool  `json:"leaseValid"`
+	TrustsKeys bool  `json:"trustsKeys"`
+	Claims     int   `json:"claims"`
+	Appends    int64 `json:"appends"`
 	// PeerBytes counts what was sent to and received from other entry processes.
 	PeerBytes int64 `json:"peerBytes"`
 	// LogBytes counts the log entries read.
-	LogBytes int64 `json:"logBytes"`
-	Members    []fleet.Member `json:"members"`
-	Teams      []TeamStatus   `json:"teams"`
+	LogBytes int64          `json:"logBytes"`
+	Members  []fleet.Member `json:"members"`
+	Teams    []TeamStatus   `json:"teams"`
 
 	Services []admit.ServiceLoad `json:"services"`
 }
@@ -46,31 +46,27 @@
 	now := n.clock.Now()
 	t := n.state.Tables()
 	reply := StatusReply{
-		Seat:        n.settings.Seat,
-		Zone:        n.settings.Zone,
-		Incarnation: n.incarnation(),
-		Offset:      t.Offset(),
-		Version:     t.Config(),
-		FreshMs:     n.freshAge(now).Milliseconds(),
-		Ready:       n.ready(),
-		LeaseValid:  n.lease.valid(now),
-		TrustsKeys:  n.mayTrustKeys(now),
-		Claims:      n.claims.Len(),
-		Appends:     n.writer.Appends() + n.claimWriter.Appends(),
-		PeerBytes:   n.peerBytes.Load(),
-		LogBytes:    n.stateTail.BytesRead() + n.claimTail.BytesRead(),
-		Members:     t.Members(),
+		Seat:       n.settings.Seat,
+		Zone:       n.settings.Zone,
+		Offset:     t.Offset(),
+		Version:    t.Config(),
+		FreshMs:    n.freshAge(now).Milliseconds(),
+		Ready:      n.ready(),
+		TrustsKeys: n.mayTrustKeys(now),
+		Claims:     n.claims.Len(),
+		Appends:    n.writer.Appends() + n.claimWriter.Appends(),
+		PeerBytes:  n.peerBytes.Load(),
+		LogBytes:   n.stateTail.BytesRead() + n.claimTail.BytesRead(),
+		Members:    t.Members(),
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	for _, team := range t.Teams.All() {
-		u := n.units[team.Name]
-		if u == nil {
-			continue
-		}
-		running, waiting := n.rows.TeamLoad(u.row)
+	reply.Incarnation = n.keeper.Incarnation()
+	reply.LeaseValid = n.keeper.Valid(now)
+	for _, team := range n.limited {
+		running, waiting := n.rows.TeamLoad(team.row)
 		reply.Teams = append(reply.Teams, TeamStatus{
-			Team: team.Name, Held: u.hold.Held(), Usable: n.rows.Usable(u.row), Running: running, Waiting: waiting,
+			Team: team.name, Held: n.keeper.Held(team.name), Usable: n.rows.Usable(team.row), Running: running, Waiting: waiting,
 		})
 	}
 	reply.Services = n.rows.Loads()
--- a/entry/stop.go
+++ b/entry/stop.go
@@ -7,7 +7,6 @@
 	"go.uber.org/zap"
 
 	"lavenderwing.example/lavenderwing/event"
-	"lavenderwing.example/lavenderwing/record"
 )
 
 // leaveWait bounds the wait for the log to take the leave record.
@@ -44,13 +43,13 @@
 func (n *Node) leave(background context.Context) {
 	n.mu.Lock()
 	lingering := n.rows.Lingering()
+	r := n.keeper.Leave(n.view().longestRun, n.clock.Now())
 	n.mu.Unlock()
-	if lingering > 0 {
+	if lingering > 0 || r == nil {
 		return
 	}
 	ctx, cancel := context.WithTimeout(background, leaveWait)
 	defer cancel()
-	r := record.Leave{Seat: n.settings.Seat, Incarnation: n.incarnation()}
 	if err := n.writer.Await(ctx, r); err != nil {
 		n.log.Warn("leave not recorded", zap.Error(err))
 	}
