--- a/seat/history_test.go
+++ b/seat/history_test.go
@@ -31,6 +31,8 @@
 	limit   int
 	peak    int
 	started int
+	// calm worlds have only the failures that a test causes itself.
+	calm bool
 }
 
 // run is one request on a target, which goes on when its sender dies.
@@ -223,7 +225,9 @@
 
 func (w *world) step() {
 	w.now = w.now.Add(worldStep)
-	w.disturb()
+	if !w.calm {
+		w.disturb()
+	}
 	kept := w.runs[:0]
 	for _, r := range w.runs {
 		if w.now.Before(r.ends) {
@@ -267,3 +271,48 @@
 		t.Fatalf("the limit was never reached, so that the check says nothing")
 	}
 }
+
+// TestPauseWithRequestsInHand freezes a process between the admission of requests and their sending, until others hold its units.
+func TestPauseWithRequestsInHand(t *testing.T) {
+	w := newWorld(t, 1, 40)
+	w.calm = true
+	p := w.procs[0]
+	for range 5 * time.Second / worldStep {
+		w.step()
+	}
+	// Requests beyond the floor are in hand when the process freezes.
+	for p.running() < p.keeper.Usable(p.tables, worldTeam, longestRun, p.local()) {
+		p.admit++
+	}
+	p.admit += len(w.runsOf(p))
+	w.runs = w.others(p)
+	if floor := p.keeper.of(worldTeam).hold.Floor; p.admit <= floor {
+		t.Fatalf("%d requests in hand do not exceed the floor of %d", p.admit, floor)
+	}
+	p.paused = w.now.Add(30 * time.Second)
+	for range 40 * time.Second / worldStep {
+		w.step()
+	}
+}
+
+// runsOf returns the runs that the process started.
+func (w *world) runsOf(p *proc) []*run {
+	var own []*run
+	for _, r := range w.runs {
+		if r.owner == p {
+			own = append(own, r)
+		}
+	}
+	return own
+}
+
+// others returns the runs that the process did not start.
+func (w *world) others(p *proc) []*run {
+	var others []*run
+	for _, r := range w.runs {
+		if r.owner != p {
+			others = append(others, r)
+		}
+	}
+	return others
+}
