Pauses and deaths of allocators; the outcome of every answer

Change: slots lapse 0.5 s before an allocator's patience; an allocator that was silent warms up again; suspected peers are probed instead of retried; the load plays the balancer's health check and idempotent callers repeat a broken call.

--- a/alloc/table.go
+++ b/alloc/table.go
@@ -42,6 +42,7 @@
 	layout  Layout
 	seats   map[string]*seat
 	started time.Time
+	last    time.Time
 	rotated time.Time
 	level   float64
 	spare   map[string]int
@@ -56,9 +57,12 @@
 
 // Report takes a seat's report and returns its allocation.
 func (t *Table) Report(r Report, now time.Time) Allocation {
-	if t.started.IsZero() {
+	if now.Sub(t.last) > Silence {
+		// The allocator is new, or was paused while another one may have given the slots away.
 		t.started = now
+		t.seats = map[string]*seat{}
 	}
+	t.last = now
 	s := t.hear(r, now)
 	t.forget(now)
 	t.divide(now)
--- a/entry/node.go
+++ b/entry/node.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"crypto/sha256"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -173,6 +175,7 @@
 		n.line.Add(event.KindConfig, "version", "log", "")
 	}
 	n.seats = seatsOf(t)
+	maps.DeleteFunc(n.suspects, func(seat string, _ time.Time) bool { return !slices.Contains(n.seats, seat) })
 	if n.settings.Division == DivideEvenly {
 		n.divideEvenly(t)
 	}
--- /dev/null
+++ b/entry/path_test.go
@@ -0,0 +1,264 @@
+package entry
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/json"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/matryer/is"
+	"github.com/valyala/fasthttp"
+
+	"lavenderwing.example/lavenderwing/fleet"
+	"lavenderwing.example/lavenderwing/plat"
+	"lavenderwing.example/lavenderwing/record"
+	"lavenderwing.example/lavenderwing/stand"
+)
+
+const (
+	testToken  = "token"
+	testSecret = "secret"
+)
+
+// bench is a stand-in with two targets and two entry processes' worth of nodes.
+type bench struct {
+	t     *testing.T
+	stand *stand.Stand
+	nodes []*Node
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func newBench(t *testing.T) *bench {
+	t.Helper()
+	settings := stand.Settings{Listen: freeAddress(t), Keep: 10000}
+	for _, name := range []string{"proofs-1", "proofs-2"} {
+		settings.Hosts = append(settings.Hosts, stand.HostSettings{
+			Name: name, Pool: "proofs", Zone: "sibiu-a", Address: freeAddress(t), Slots: 8, Connections: 64,
+		})
+	}
+	b := &bench{t: t, stand: stand.New(settings)}
+	if err := b.stand.Start(); err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	hash := sha256.Sum256([]byte(testToken))
+	done := make(chan error, 2)
+	for range 2 {
+		n := New(Settings{
+			Listen: freeAddress(t), Seat: freeAddress(t), Zone: "sibiu-a", Platform: settings.Listen, Division: DivideByDemand,
+			Lease: defaultLease, Tick: defaultTick, Commit: shortest, ClaimWindow: defaultClaimWindow, FreshFor: defaultFreshFor,
+			IsolatedFor: defaultIsolatedFor, StopWait: defaultStopWait, MaxBody: 1 << 16, ReadWait: defaultReadWait,
+			MaxCallers: defaultMaxCallers, RetryPercent: defaultRetries, Operators: map[string][]byte{"op": hash[:]},
+		}, plat.New(settings.Listen))
+		b.nodes = append(b.nodes, n)
+		go func() { done <- n.Run(ctx) }()
+	}
+	t.Cleanup(func() {
+		cancel()
+		for range b.nodes {
+			<-done
+		}
+		wait, stop := context.WithTimeout(context.Background(), time.Second)
+		defer stop()
+		b.stand.Stop(wait)
+	})
+	b.configure(settings)
+	return b
+}
+
+func (b *bench) configure(settings stand.Settings) {
+	rows := []fleet.Row{
+		fleet.Pool{Name: "proofs", Partner: "sibiu"},
+		fleet.Service{Name: "proofs", Pool: "proofs", RunLimitMs: 2000},
+		fleet.Queue{Name: "proofs", Service: "proofs", Urgent: true, MaxWaitMs: 20_000, MaxDepth: 50},
+		fleet.Queue{Name: "catalogue", Service: "proofs", Open: true, MaxWaitMs: 20_000, MaxDepth: 50},
+		fleet.Team{Name: "carvers", Partner: "sibiu", Share: 1, Limit: 8},
+		fleet.KeyFrom("bench", "carvers", testSecret),
+	}
+	for _, h := range settings.Hosts {
+		rows = append(rows, fleet.Host{Name: h.Name, Pool: h.Pool, Zone: h.Zone, Address: h.Address, Slots: h.Slots})
+	}
+	change := record.Change{}
+	for _, row := range rows {
+		change.Puts = append(change.Puts, record.PutOf(row, 0))
+	}
+	for _, n := range b.nodes {
+		b.until("ready", n.ready)
+	}
+	if status, body := b.change(change); status != fasthttp.StatusOK {
+		b.t.Fatalf("configuration refused: %s", body)
+	}
+	for _, n := range b.nodes {
+		b.until("configured", func() bool { return len(n.view().queues) == 2 })
+	}
+}
+
+// until waits for a condition, without judging how long it takes.
+func (b *bench) until(what string, done func() bool) {
+	b.t.Helper()
+	for range 3000 {
+		if done() {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	b.t.Fatalf("never %s", what)
+}
+
+func (b *bench) change(c record.Change) (int, string) {
+	body, err := json.Marshal(c)
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	status, reply, _ := b.post(b.nodes[0], ChangesPath, string(body), "Operator", "op", "Authorization", bearer+testToken)
+	return status, reply
+}
+
+// post sends a request with pairs of header names and values, and returns status, body and outcome.
+func (b *bench) post(n *Node, path, body string, headers ...string) (int, string, string) {
+	b.t.Helper()
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	resp := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(resp)
+	req.Header.SetMethod(fasthttp.MethodPost)
+	req.SetRequestURI("http://" + n.settings.Listen + path)
+	for i := 0; i < len(headers); i += 2 {
+		req.Header.Set(headers[i], headers[i+1])
+	}
+	req.SetBodyString(body)
+	if err := fasthttp.DoTimeout(req, resp, time.Minute); err != nil {
+		b.t.Fatal(err)
+	}
+	return resp.StatusCode(), string(resp.Body()), string(resp.Header.Peek(HeaderOutcome))
+}
+
+func newID() string { return uuid.Must(uuid.NewV7()).String() }
+
+const (
+	proofsPath = QueuesPath + "proofs" + RequestsPath
+	testKey    = bearer + "bench." + testSecret
+)
+
+func TestPath(t *testing.T) {
+	b := newBench(t)
+	for name, run := range map[string]func(is *is.I, b *bench){
+		"answer":            testAnswer,
+		"repeat":            testRepeatAtAnotherNode,
+		"error answer":      testErrorAnswerOfOnceRequest,
+		"bad input":         testBadInput,
+		"operators' change": testOperators,
+	} {
+		t.Run(name, func(t *testing.T) {
+			b.t = t
+			run(is.New(t), b)
+			b.stand.SetFaults(stand.Faults{})
+		})
+	}
+	t.Run("withdrawn key", func(t *testing.T) {
+		b.t = t
+		testWithdrawnKey(is.New(t), b)
+	})
+}
+
+func testAnswer(is *is.I, b *bench) {
+	for _, n := range b.nodes {
+		id := newID()
+		status, body, outcome := b.post(n, proofsPath, `{"runMs":1,"payload":"east wind"}`, "Authorization", testKey, HeaderRequest, id)
+		is.Equal(status, fasthttp.StatusOK)
+		is.Equal(outcome, OutcomeAnswered)
+		var result stand.Result
+		is.NoErr(json.Unmarshal([]byte(body), &result))
+		is.Equal(result.Request, id)
+		is.Equal(result.Payload, "east wind")
+	}
+	status, _, _ := b.post(b.nodes[0], QueuesPath+"catalogue"+RequestsPath, `{}`, HeaderIdempotent, "true")
+	is.Equal(status, fasthttp.StatusOK) // an open queue needs no key
+}
+
+func testRepeatAtAnotherNode(is *is.I, b *bench) {
+	id := newID()
+	for i, want := range []string{OutcomeAnswered, OutcomeUnknown, OutcomeUnknown} {
+		n := b.nodes[i%2]
+		_, _, outcome := b.post(n, proofsPath, `{"runMs":1}`, "Authorization", testKey, HeaderRequest, id)
+		is.Equal(outcome, want)
+	}
+	is.Equal(b.stand.Ran([]string{id})[id], 1)
+}
+
+// testErrorAnswerOfOnceRequest covers a target's error answer to a request that must not be tried again.
+func testErrorAnswerOfOnceRequest(is *is.I, b *bench) {
+	failing := stand.TargetFault{FailAll: true}
+	b.stand.SetFaults(stand.Faults{Targets: map[string]stand.TargetFault{"proofs-1": failing, "proofs-2": failing}})
+	id := newID()
+	status, _, outcome := b.post(b.nodes[0], proofsPath, `{"runMs":1}`, "Authorization", testKey, HeaderRequest, id)
+	is.Equal(status, fasthttp.StatusInternalServerError)
+	is.Equal(outcome, OutcomeAnswered)
+	is.Equal(b.stand.Ran([]string{id})[id], 1)
+}
+
+func testBadInput(is *is.I, b *bench) {
+	big := string(make([]byte, 1<<17))
+	for _, c := range []struct {
+		path, body, reason string
+		status             int
+		headers            []string
+	}{
+		{proofsPath, "{}", "noKey", 401, []string{HeaderIdempotent, "true"}},
+		{proofsPath, "{}", "badKey", 401, []string{HeaderIdempotent, "true", "Authorization", bearer + "bench.wrong"}},
+		{proofsPath, "{}", "badKey", 401, []string{HeaderIdempotent, "true", "Authorization", bearer + "nonsense"}},
+		{proofsPath, "{}", "badRequestId", 400, []string{"Authorization", testKey}},
+		{proofsPath, "{}", "badRequestId", 400, []string{"Authorization", testKey, HeaderRequest, uuid.NewString()}},
+		{proofsPath, "{}", "badTimeout", 400, []string{"Authorization", testKey, HeaderIdempotent, "true", HeaderTimeout, "-1"}},
+		{QueuesPath + "none" + RequestsPath, "{}", "noSuchQueue", 404, nil},
+		{"/elsewhere", "{}", "noSuchPath", 404, nil},
+		{proofsPath, big, "bodyTooLarge", 413, []string{"Authorization", testKey, HeaderIdempotent, "true"}},
+	} {
+		status, body, outcome := b.post(b.nodes[0], c.path, c.body, c.headers...)
+		var r refusal
+		is.NoErr(json.Unmarshal([]byte(body), &r))
+		is.Equal(r.Reason, c.reason)
+		is.Equal(status, c.status)
+		is.Equal(outcome, OutcomeNotRun)
+	}
+}
+
+func testOperators(is *is.I, b *bench) {
+	team := fleet.Team{Name: "schools", Partner: "sibiu", Share: 1, Limit: 4}
+	status, _ := b.change(record.Change{Puts: []record.Put{record.PutOf(team, 0)}})
+	is.Equal(status, fasthttp.StatusOK)
+	status, _ = b.change(record.Change{Puts: []record.Put{record.PutOf(team, 0)}})
+	is.Equal(status, fasthttp.StatusConflict)
+	bad := fleet.Queue{Name: "q", Service: "none"}
+	status, body := b.change(record.Change{Puts: []record.Put{record.PutOf(bad, 0)}})
+	is.Equal(status, fasthttp.StatusUnprocessableEntity)
+	var reply ErrorReply
+	is.NoErr(json.Unmarshal([]byte(body), &reply))
+	is.Equal(len(reply.Reasons), 3) // no such service, no wait, no depth
+	status, _, _ = b.post(b.nodes[0], ChangesPath, "{}", "Operator", "op", "Authorization", bearer+"wrong")
+	is.Equal(status, fasthttp.StatusUnauthorized)
+}
+
+func testWithdrawnKey(is *is.I, b *bench) {
+	key, _ := b.nodes[0].state.Tables().Keys.Get("bench")
+	status, _ := b.change(record.Change{Puts: []record.Put{record.PutOf(key.WithWithdrawn(), key.At())}})
+	is.Equal(status, fasthttp.StatusOK)
+	for _, n := range b.nodes {
+		b.until("withdrawn", func() bool { return n.view().keys["bench"].Withdrawn })
+		status, _, outcome := b.post(n, proofsPath, `{}`, "Authorization", testKey, HeaderIdempotent, "true")
+		is.Equal(status, fasthttp.StatusUnauthorized)
+		is.Equal(outcome, OutcomeNotRun)
+	}
+}
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -91,7 +91,7 @@
 		}
 		sent = sent || outcome == conns.Unknown || outcome == conns.Answered
 		if !again || !n.mayRetry(r, w) {
-			return n.failed(ctx, r, outcome, sent, err)
+			return n.failed(outcome, sent, err)
 		}
 		n.counters.retries.Inc(1)
 		n.line.Add(event.KindRetried, r.id, n.targetName(w), outcome.String())
@@ -221,11 +221,8 @@
 	}
 	switch outcome {
 	case conns.Answered:
-		if !serverError {
-			markAnswered(ctx, r)
-			return false
-		}
-		return r.idempotent
+		markAnswered(ctx, r)
+		return serverError && r.idempotent
 	case conns.Unknown:
 		return r.idempotent
 	default:
@@ -257,9 +254,8 @@
 }
 
 // failed returns the caller's reply when no further try is made; nil passes the target's own error answer on.
-func (n *Node) failed(ctx *fasthttp.RequestCtx, r *request, outcome conns.Outcome, sent bool, err error) *refusal {
+func (n *Node) failed(outcome conns.Outcome, sent bool, err error) *refusal {
 	if outcome == conns.Answered {
-		markAnswered(ctx, r)
 		return nil
 	}
 	if sent {
--- a/entry/slots.go
+++ b/entry/slots.go
@@ -19,8 +19,10 @@
 	holdFor = time.Second
 	// answerWait is how long a peer may take beyond the hold.
 	answerWait = 500 * time.Millisecond
-	// suspectFor is how long a peer that did not answer is not asked again.
-	suspectFor = 2 * time.Second
+	// creditFor is how long slots may be used after the exchange that confirmed them; it is shorter than an allocator's patience.
+	creditFor = alloc.Silence - 500*time.Millisecond
+	// probePeriod is how often a peer that did not answer is asked for a sign of life.
+	probePeriod = 500 * time.Millisecond
 	// lackPeriod and changePeriod are the shortest times between two reports while work waits, and otherwise.
 	lackPeriod   = 20 * time.Millisecond
 	changePeriod = 100 * time.Millisecond
@@ -33,9 +35,11 @@
 	home    string
 	applied uint64
 	// calls is the number of exchanges under way.
-	calls   int
-	sent    time.Time
-	demands []alloc.Demand
+	calls int
+	sent  time.Time
+	// confirmed is when the exchange that last confirmed the slots was sent.
+	confirmed time.Time
+	demands   []alloc.Demand
 	// excess is the number of slots in use beyond the credits at the last report.
 	excess int
 }
@@ -79,7 +83,12 @@
 	if n.settings.Division == DivideEvenly {
 		return
 	}
+	n.probeSuspects(now)
 	for _, x := range n.exchangers {
+		if now.Sub(x.confirmed) > creditFor {
+			// This process was paused or cut off for so long that its slots may be another's.
+			n.rows.SetCredits(x.service, nil)
+		}
 		demands := n.rows.Demands(x.service)
 		lacking := n.rows.Lacking(x.service)
 		changed := !slices.Equal(demands, x.demands)
@@ -97,7 +106,7 @@
 }
 
 func (n *Node) startExchange(x *exchanger, now time.Time) {
-	seat := homeOf(x.name, n.seats, func(seat string) bool { return now.Before(n.suspects[seat]) })
+	seat := homeOf(x.name, n.seats, func(seat string) bool { return !n.suspects[seat].IsZero() })
 	if seat == "" {
 		return
 	}
@@ -110,10 +119,10 @@
 		Applied: x.applied, Demands: x.demands, Uses: n.rows.Uses(x.service),
 	}
 	x.calls++
-	go n.exchange(x, seat, peer.Exchange{Report: report, HoldMs: int(holdFor.Milliseconds()), FreshMs: n.freshAge(now).Milliseconds()})
+	go n.exchange(x, seat, now, peer.Exchange{Report: report, HoldMs: int(holdFor.Milliseconds()), FreshMs: n.freshAge(now).Milliseconds()})
 }
 
-func (n *Node) exchange(x *exchanger, seat string, args peer.Exchange) {
+func (n *Node) exchange(x *exchanger, seat string, sent time.Time, args peer.Exchange) {
 	var reply peer.Exchanged
 	var err error
 	if seat == n.settings.Seat {
@@ -125,14 +134,41 @@
 	defer n.mu.Unlock()
 	x.calls--
 	if err != nil {
-		n.suspects[seat] = n.clock.Now().Add(suspectFor)
+		n.suspects[seat] = n.clock.Now()
 		n.line.Add(event.KindMember, seat, x.name, "no answer: "+err.Error())
 		return
 	}
 	n.heard(reply.FreshMs)
+	if sent.After(x.confirmed) {
+		x.confirmed = sent
+	}
 	n.apply(x, reply.Allocation)
 }
 
+// probeSuspects asks peers that did not answer for a sign of life, without letting any decision wait for it.
+func (n *Node) probeSuspects(now time.Time) {
+	for seat, since := range n.suspects {
+		if since.IsZero() || now.Sub(since) < probePeriod {
+			continue
+		}
+		n.suspects[seat] = now
+		go n.probe(seat)
+	}
+}
+
+func (n *Node) probe(seat string) {
+	args := peer.Exchange{FreshMs: n.freshAge(n.clock.Now()).Milliseconds()}
+	reply, err := n.peers.Exchange(seat, args, answerWait)
+	if err != nil {
+		return
+	}
+	n.heard(reply.FreshMs)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.suspects, seat)
+	n.line.Add(event.KindMember, seat, "probe", "answers again")
+}
+
 // apply puts an allocation in use unless a newer one came first.
 func (n *Node) apply(x *exchanger, a alloc.Allocation) {
 	if a.Sequence <= x.applied {
@@ -168,9 +204,10 @@
 
 // Exchange answers another entry process, or this one, as the allocator of a service.
 func (n *Node) Exchange(args peer.Exchange) peer.Exchanged {
-	n.mu.Lock()
 	n.heard(args.FreshMs)
-	n.mu.Unlock()
+	if args.Report.Service == "" {
+		return peer.Exchanged{FreshMs: n.freshAge(n.clock.Now()).Milliseconds()}
+	}
 	a := n.home.exchange(args.Report, time.Duration(args.HoldMs)*time.Millisecond)
 	return peer.Exchanged{Allocation: a, FreshMs: n.freshAge(n.clock.Now()).Milliseconds()}
 }
--- a/load/run.go
+++ b/load/run.go
@@ -40,6 +40,7 @@
 	good        int
 	idempotent  int
 	samples     []sample
+	healthy     []string
 	wg          sync.WaitGroup
 }
 
@@ -72,6 +73,7 @@
 		defer close(sampled)
 		r.sampleUntil(stopSampling)
 	}()
+	go r.balance(stopSampling)
 	r.send()
 	close(stopSampling)
 	<-sampled
@@ -129,8 +131,9 @@
 	team  TeamSettings
 	id    string
 	once  bool
-	entry string
-	body  []byte
+	// pick chooses among the entry processes that the balancer finds healthy.
+	pick uint64
+	body []byte
 }
 
 func (r *Run) start(q QueueSettings) {
@@ -142,7 +145,7 @@
 		team:  r.pickTeam(),
 		id:    id,
 		once:  r.random.IntN(percent) < q.OncePercent,
-		entry: r.settings.Entries[r.random.IntN(len(r.settings.Entries))],
+		pick:  r.random.Uint64(),
 		body:  body,
 	}
 	r.mu.Lock()
@@ -182,22 +185,31 @@
 	r.outstanding[c.queue.Pool][c.team.Name] += delta
 }
 
+// do sends a request; an idempotent one whose connection breaks is sent once more, as callers do.
 func (r *Run) do(c call) {
-	req := fasthttp.AcquireRequest()
-	defer fasthttp.ReleaseRequest(req)
 	resp := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(resp)
+	began := time.Now()
+	err := r.try(c, resp)
+	if err != nil && !c.once {
+		c.pick++
+		err = r.try(c, resp)
+	}
+	r.note(c, resp, err, time.Since(began))
+}
+
+func (r *Run) try(c call, resp *fasthttp.Response) error {
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
 	req.Header.SetMethod(fasthttp.MethodPost)
-	req.SetRequestURI("http://" + c.entry + entry.QueuesPath + c.queue.Name + entry.RequestsPath)
+	req.SetRequestURI("http://" + r.entry(c) + entry.QueuesPath + c.queue.Name + entry.RequestsPath)
 	req.Header.Set(fasthttp.HeaderAuthorization, "Bearer "+c.team.Key)
 	req.Header.Set(entry.HeaderRequest, c.id)
 	if !c.once {
 		req.Header.Set(entry.HeaderIdempotent, "true")
 	}
 	req.SetBodyRaw(c.body)
-	began := time.Now()
-	err := r.client.DoTimeout(req, resp, c.queue.Timeout+time.Second)
-	r.note(c, resp, err, time.Since(began))
+	return r.client.DoTimeout(req, resp, c.queue.Timeout+time.Second)
 }
 
 // reply is what the run reads of a refusal.
