A demonstration in one process; quiet exchanges while nothing changes

Change: a report that says nothing new says only that, and so does its answer; reports are numbered, so that an overtaken one is no news; slots that lapsed are given again; a target that refuses as busy is left alone for 50 ms and the request waits for another slot until its own deadline.

Conclusion: a refusal by a busy target costs time, not the request.

--- a/admit/health.go
+++ b/admit/health.go
@@ -35,3 +35,11 @@
 	t.refresh(i)
 	t.timeline(Note{Target: target.name, What: "ejected for " + delay.String()})
 }
+
+// Busy records that a target refused a request because its slots were taken, which says nothing about its health.
+func (t *Table) Busy(i Target, now time.Time) {
+	target := &t.targets[i]
+	target.busy = true
+	target.busyUntil = now.Add(busyWait)
+	t.refresh(i)
+}
--- a/admit/target.go
+++ b/admit/target.go
@@ -7,6 +7,8 @@
 	failuresToEject = 3
 	ejectBase       = time.Second
 	ejectMost       = 30 * time.Second
+	// busyWait is how long a target that refused a request gets no other.
+	busyWait = 50 * time.Millisecond
 	// keptPercent of a service's targets are never ejected.
 	keptPercent = 50
 )
@@ -29,13 +31,16 @@
 	ejects   int
 	ejected  bool
 	until    time.Time
+	// busy targets refused a request, and get no new one until a time.
+	busy      bool
+	busyUntil time.Time
 	// probing targets were ejected and may run one request to show that they work again.
 	probing bool
 }
 
 func (t *target) allowed() int {
 	switch {
-	case !t.present, t.draining, t.ejected:
+	case !t.present, t.draining, t.ejected, t.busy:
 		return 0
 	case t.probing:
 		return min(t.credit, 1)
--- a/admit/tick.go
+++ b/admit/tick.go
@@ -60,6 +60,10 @@
 func (t *Table) readmit(now time.Time) {
 	for i := range t.targets {
 		target := &t.targets[i]
+		if target.busy && !now.Before(target.busyUntil) {
+			target.busy = false
+			t.refresh(Target(i))
+		}
 		if target.ejected && !now.Before(target.until) {
 			target.ejected = false
 			target.probing = true
--- a/alloc/report.go
+++ b/alloc/report.go
@@ -5,8 +5,12 @@
 	Service     string
 	Seat        string
 	Incarnation string
+	// Number grows with each report of the incarnation, so that one overtaken on its way is not taken for news.
+	Number uint64
 	// Applied is the sequence of the newest allocation in use at the seat.
 	Applied uint64
+	// Same stands for the demands and uses of the last report, which are left out.
+	Same    bool
 	Demands []Demand
 	Uses    []Use
 }
@@ -29,8 +33,12 @@
 type Allocation struct {
 	// Sequence grows with each allocation of one allocator for the seat.
 	Sequence uint64
-	Credits  []Credit
-	Quotas   []Quota
+	// Same stands for the allocation of this sequence, which the seat already has.
+	Same bool
+	// Unknown asks for a whole report, because the allocator does not know the last one.
+	Unknown bool
+	Credits []Credit
+	Quotas  []Quota
 	// Level is the number of slots per weight up to which a team is served before others.
 	Level float64
 }
--- a/alloc/table.go
+++ b/alloc/table.go
@@ -24,6 +24,7 @@
 	incarnation string
 	heard       time.Time
 	sequence    uint64
+	number      uint64
 	demands     map[string]int
 	running     map[string]int
 	// told is the newest allocation by target.
@@ -63,10 +64,25 @@
 		t.seats = map[string]*seat{}
 	}
 	t.last = now
-	s := t.hear(r, now)
+	if r.Same {
+		s := t.seats[r.Seat]
+		if s == nil || s.incarnation != r.Incarnation || s.sequence != r.Applied {
+			return Allocation{Unknown: true}
+		}
+		s.heard = now
+		return t.answer(s, r.Applied, now)
+	}
+	return t.answer(t.hear(r, now), r.Applied, now)
+}
+
+func (t *Table) answer(s *seat, applied uint64, now time.Time) Allocation {
 	t.forget(now)
 	t.divide(now)
-	return t.allocate(s, now)
+	a := t.allocate(s, now)
+	if a.Sequence == applied {
+		return Allocation{Sequence: applied, Same: true}
+	}
+	return a
 }
 
 // Again returns a newer allocation for a seat that was heard before, and whether it differs from the last one.
@@ -113,6 +129,10 @@
 		s.adopt(r)
 	}
 	s.heard = now
+	if r.Number < s.number {
+		return s
+	}
+	s.number = r.Number
 	s.demands = map[string]int{}
 	for _, d := range r.Demands {
 		s.demands[d.Team] += d.Want
--- a/cmds/main.go
+++ b/cmds/main.go
@@ -53,6 +53,7 @@
 func commands() map[string]command {
 	return map[string]command{
 		"apply":    applyCmd(),
+		"demo":     demoCmd(),
 		"entry":    entryCmd(),
 		"host":     hostCmd(),
 		"key":      keyCmd(),
--- a/entry/home.go
+++ b/entry/home.go
@@ -53,12 +53,11 @@
 	h.mu.Lock()
 	s := h.service(r.Service)
 	s.wake(r.Seat)
-	before := creditOf(r)
 	allocation := s.table.Report(r, h.clock.Now())
 	for _, seat := range s.table.Stirred(r.Seat, h.clock.Now()) {
 		s.wake(seat)
 	}
-	if hold <= 0 || !same(before, allocation) {
+	if hold <= 0 || !allocation.Same {
 		h.mu.Unlock()
 		return allocation
 	}
@@ -87,26 +86,3 @@
 		delete(s.held, seat)
 	}
 }
-
-func creditOf(r alloc.Report) map[string]int {
-	credits := map[string]int{}
-	for _, u := range r.Uses {
-		if u.Credit > 0 {
-			credits[u.Target] = u.Credit
-		}
-	}
-	return credits
-}
-
-// same reports whether an allocation leaves the credits as they are.
-func same(before map[string]int, a alloc.Allocation) bool {
-	if len(before) != len(a.Credits) {
-		return false
-	}
-	for _, c := range a.Credits {
-		if before[c.Target] != c.Slots {
-			return false
-		}
-	}
-	return true
-}
--- a/entry/node.go
+++ b/entry/node.go
@@ -75,6 +75,9 @@
 
 	counters counters
 	stopping atomic.Bool
+	// killed nodes skip the graceful stop.
+	killed   atomic.Bool
+	listener atomic.Pointer[net.Listener]
 	busy     sync.WaitGroup
 	server   *fasthttp.Server
 	attempts atomic.Uint64
@@ -187,6 +190,7 @@
 	if err != nil {
 		return trace.Wrap(err, "listening on %s", n.settings.Listen)
 	}
+	n.listener.Store(&listener)
 	peers, err := peer.NewServer(n, n.settings.PeerSecret, &n.peerBytes)
 	if err != nil {
 		return err
@@ -207,10 +211,15 @@
 	go func() { served <- n.server.Serve(listener) }()
 	select {
 	case err := <-served:
+		if n.killed.Load() {
+			return nil
+		}
 		return trace.Wrap(err, "serving")
 	case <-ctx.Done():
 	}
-	n.stop(background)
+	if !n.killed.Load() {
+		n.stop(background)
+	}
 	return nil
 }
 
@@ -227,6 +236,18 @@
 	}
 }
 
+// Kill ends the node as a lost host would: at once, without a word to anyone.
+func (n *Node) Kill() {
+	n.stopping.Store(true)
+	n.killed.Store(true)
+	if l := n.listener.Load(); l != nil {
+		_ = (*l).Close()
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.rows.Tick(n.clock.Now().Add(maxTimeout))
+}
+
 // tick runs each system once over the tables.
 func (n *Node) tick(now time.Time) {
 	n.mu.Lock()
--- a/entry/path_test.go
+++ b/entry/path_test.go
@@ -56,12 +56,10 @@
 	hash := sha256.Sum256([]byte(testToken))
 	done := make(chan error, 2)
 	for range 2 {
-		n := New(Settings{
-			Listen: freeAddress(t), Seat: freeAddress(t), Zone: "sibiu-a", Platform: settings.Listen, Division: DivideByDemand,
-			Lease: defaultLease, Tick: defaultTick, Commit: shortest, ClaimWindow: defaultClaimWindow, FreshFor: defaultFreshFor,
-			IsolatedFor: defaultIsolatedFor, StopWait: defaultStopWait, MaxBody: 1 << 16, ReadWait: defaultReadWait,
-			MaxCallers: defaultMaxCallers, RetryPercent: defaultRetries, Operators: map[string][]byte{"op": hash[:]},
-		}, plat.New(settings.Listen))
+		s := DefaultSettings()
+		s.Listen, s.Seat, s.Zone, s.Platform = freeAddress(t), freeAddress(t), "sibiu-a", settings.Listen
+		s.Commit, s.MaxBody, s.Operators = shortest, 1<<16, map[string][]byte{"op": hash[:]}
+		n := New(s, plat.New(settings.Listen))
 		b.nodes = append(b.nodes, n)
 		go func() { done <- n.Run(ctx) }()
 	}
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"net"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -23,6 +24,11 @@
 	n.busy.Add(1)
 	defer n.busy.Done()
 	refused := n.handle(ctx)
+	if n.killed.Load() {
+		ctx.HijackSetNoResponse(true)
+		ctx.Hijack(func(c net.Conn) { _ = c.Close() })
+		return
+	}
 	if refused == nil {
 		n.counters.answered.Inc(1)
 		return
@@ -90,7 +96,7 @@
 			return nil
 		}
 		sent = sent || outcome == conns.Unknown || outcome == conns.Answered
-		if !again || !n.mayRetry(r, w) {
+		if !again || outcome != conns.Refused && !n.mayRetry(r, w) {
 			return n.failed(outcome, sent, err)
 		}
 		n.counters.retries.Inc(1)
@@ -210,7 +216,9 @@
 	switch {
 	case outcome == conns.Answered && !serverError:
 		n.rows.Succeeded(w.Target)
-	case outcome != conns.Refused:
+	case outcome == conns.Refused:
+		n.rows.Busy(w.Target, now)
+	default:
 		n.rows.Failed(w.Target, now)
 	}
 	if outcome == conns.Unknown {
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -84,6 +84,25 @@
 	percent  = 100
 )
 
+// DefaultSettings returns the settings of a process whose addresses and zone are not set.
+func DefaultSettings() Settings {
+	return Settings{
+		Division:     DivideByDemand,
+		Lease:        defaultLease,
+		Tick:         defaultTick,
+		Commit:       defaultCommit,
+		ClaimWindow:  defaultClaimWindow,
+		FreshFor:     defaultFreshFor,
+		IsolatedFor:  defaultIsolatedFor,
+		StopWait:     defaultStopWait,
+		MaxBody:      defaultMaxBody,
+		ReadWait:     defaultReadWait,
+		MaxCallers:   defaultMaxCallers,
+		RetryPercent: defaultRetries,
+		Operators:    map[string][]byte{},
+	}
+}
+
 // Load reads the settings of an entry process from a file.
 func Load(path string) (Settings, error) {
 	file, err := conf.Open(path)
@@ -92,27 +111,25 @@
 	}
 	main := file.Section("entry")
 	limits := file.Section("limits")
-	s := Settings{
-		Listen:       main.Address("listen"),
-		Seat:         main.Address("seat"),
-		Zone:         main.Required("zone"),
-		Platform:     main.Address("platform"),
-		Source:       main.IP("source"),
-		Division:     Division(main.OneOf("division", string(DivideByDemand), string(DivideByWeight), string(DivideEvenly))),
-		Lease:        main.Duration("lease", defaultLease, time.Second, time.Hour),
-		Tick:         main.Duration("tick", defaultTick, shortest, time.Second),
-		Commit:       main.Duration("commit", defaultCommit, shortest, time.Second),
-		ClaimWindow:  main.Duration("claimWindow", defaultClaimWindow, time.Minute, longest),
-		FreshFor:     main.Duration("freshFor", defaultFreshFor, shortest, longest),
-		IsolatedFor:  main.Duration("isolatedFor", defaultIsolatedFor, 0, longest),
-		StopWait:     main.Duration("stopWait", defaultStopWait, shortest, longest),
-		MaxBody:      limits.Int("maxBody", defaultMaxBody, 1, bodyMost),
-		ReadWait:     limits.Duration("readWait", defaultReadWait, shortest, longest),
-		MaxCallers:   limits.Int("maxCallers", defaultMaxCallers, 1, most),
-		RetryPercent: limits.Int("retryPercent", defaultRetries, 0, percent),
-		PeerSecret:   file.Section("peers").String("secret", ""),
-		Operators:    map[string][]byte{},
-	}
+	s := DefaultSettings()
+	s.Listen = main.Address("listen")
+	s.Seat = main.Address("seat")
+	s.Zone = main.Required("zone")
+	s.Platform = main.Address("platform")
+	s.Source = main.IP("source")
+	s.PeerSecret = file.Section("peers").String("secret", "")
+	s.Division = Division(main.OneOf("division", string(DivideByDemand), string(DivideByWeight), string(DivideEvenly)))
+	s.Lease = main.Duration("lease", s.Lease, time.Second, time.Hour)
+	s.Tick = main.Duration("tick", s.Tick, shortest, time.Second)
+	s.Commit = main.Duration("commit", s.Commit, shortest, time.Second)
+	s.ClaimWindow = main.Duration("claimWindow", s.ClaimWindow, time.Minute, longest)
+	s.FreshFor = main.Duration("freshFor", s.FreshFor, shortest, longest)
+	s.IsolatedFor = main.Duration("isolatedFor", s.IsolatedFor, 0, longest)
+	s.StopWait = main.Duration("stopWait", s.StopWait, shortest, longest)
+	s.MaxBody = limits.Int("maxBody", s.MaxBody, 1, bodyMost)
+	s.ReadWait = limits.Duration("readWait", s.ReadWait, shortest, longest)
+	s.MaxCallers = limits.Int("maxCallers", s.MaxCallers, 1, most)
+	s.RetryPercent = limits.Int("retryPercent", s.RetryPercent, 0, percent)
 	for _, name := range file.Named("operator") {
 		s.Operators[name] = operatorHash(file, "operator "+name)
 	}
--- a/entry/slots.go
+++ b/entry/slots.go
@@ -40,6 +40,12 @@
 	// confirmed is when the exchange that last confirmed the slots was sent.
 	confirmed time.Time
 	demands   []alloc.Demand
+	// knownTo is the seat that has the last whole report, whose parts follow.
+	knownTo      string
+	knownDemands []alloc.Demand
+	knownUses    []alloc.Use
+	// number counts reports.
+	number uint64
 	// excess is the number of slots in use beyond the credits at the last report.
 	excess int
 }
@@ -88,6 +94,8 @@
 		if now.Sub(x.confirmed) > creditFor {
 			// This process was paused or cut off for so long that its slots may be another's.
 			n.rows.SetCredits(x.service, nil)
+			x.applied = 0
+			x.knownTo = ""
 		}
 		demands := n.rows.Demands(x.service)
 		lacking := n.rows.Lacking(x.service)
@@ -114,14 +122,25 @@
 		n.line.Add(event.KindAllocate, x.name, x.home, "slots are divided by "+seat)
 		x.home = seat
 	}
-	report := alloc.Report{
-		Service: x.name, Seat: n.settings.Seat, Incarnation: n.writerID,
-		Applied: x.applied, Demands: x.demands, Uses: n.rows.Uses(x.service),
-	}
+	report := n.report(x, seat)
 	x.calls++
 	go n.exchange(x, seat, now, peer.Exchange{Report: report, HoldMs: int(holdFor.Milliseconds()), FreshMs: n.freshAge(now).Milliseconds()})
 }
 
+// report tells an allocator what it does not know from the last report.
+func (n *Node) report(x *exchanger, seat string) alloc.Report {
+	x.number++
+	r := alloc.Report{Service: x.name, Seat: n.settings.Seat, Incarnation: n.writerID, Number: x.number, Applied: x.applied}
+	uses := n.rows.Uses(x.service)
+	if x.knownTo == seat && slices.Equal(x.demands, x.knownDemands) && slices.Equal(uses, x.knownUses) {
+		r.Same = true
+		return r
+	}
+	x.knownTo, x.knownDemands, x.knownUses = seat, x.demands, uses
+	r.Demands, r.Uses = x.demands, uses
+	return r
+}
+
 func (n *Node) exchange(x *exchanger, seat string, sent time.Time, args peer.Exchange) {
 	var reply peer.Exchanged
 	var err error
@@ -135,10 +154,15 @@
 	x.calls--
 	if err != nil {
 		n.suspects[seat] = n.clock.Now()
+		x.knownTo = ""
 		n.line.Add(event.KindMember, seat, x.name, "no answer: "+err.Error())
 		return
 	}
 	n.heard(reply.FreshMs)
+	if reply.Allocation.Unknown {
+		x.knownTo = ""
+		return
+	}
 	if sent.After(x.confirmed) {
 		x.confirmed = sent
 	}
@@ -171,7 +195,7 @@
 
 // apply puts an allocation in use unless a newer one came first.
 func (n *Node) apply(x *exchanger, a alloc.Allocation) {
-	if a.Sequence <= x.applied {
+	if a.Same || a.Sequence <= x.applied {
 		return
 	}
 	x.applied = a.Sequence
--- a/load/finish.go
+++ b/load/finish.go
@@ -35,13 +35,24 @@
 			report.OverLimit = append(report.OverLimit, fmt.Sprintf("%s ran %d of %d", t.Name, peak, t.Limit))
 		}
 	}
-	ran, err := r.ran(r.notRun)
-	for _, count := range ran {
+	var err error
+	if report.FalseNotRun, err = r.countRan(r.notRun); err != nil {
+		return report, err
+	}
+	report.FirstCopyRan, err = r.countRan(r.secondNotRun)
+	return report, err
+}
+
+// countRan returns how many of the requests ran on any target.
+func (r *Run) countRan(requests []string) (int, error) {
+	counts, err := r.ran(requests)
+	ran := 0
+	for _, count := range counts {
 		if count > 0 {
-			report.FalseNotRun++
+			ran++
 		}
 	}
-	return report, err
+	return ran, err
 }
 
 // ran returns how often each of the requests ran on any target.
--- a/load/report.go
+++ b/load/report.go
@@ -60,9 +60,11 @@
 	TeamPeaks map[string]int `json:"teamPeaks"`
 	Busy      int            `json:"targetBusy"`
 
-	DoubleRuns   int      `json:"doubleRuns"`
-	FalseNotRun  int      `json:"falseNotRun"`
-	CrossedReply int      `json:"crossedAnswers"`
+	DoubleRuns   int `json:"doubleRuns"`
+	FalseNotRun  int `json:"falseNotRun"`
+	CrossedReply int `json:"crossedAnswers"`
+	// FirstCopyRan counts calls whose first copy got no reply but ran, while a second copy was refused as not run.
+	FirstCopyRan int      `json:"firstCopyRan"`
 	OverLimit    []string `json:"overLimit"`
 }
 
@@ -94,6 +96,6 @@
 	for _, team := range slices.Sorted(maps.Keys(r.TeamPeaks)) {
 		fmt.Fprintf(w, "  team %-20s peak %3d, beyond its ideal %+.2f%%\n", team, r.TeamPeaks[team], r.Fairness.Beyond[team])
 	}
-	fmt.Fprintf(w, "target busy refusals %d, double runs %d, false not-run %d, crossed answers %d, over limit %v\n",
-		r.Busy, r.DoubleRuns, r.FalseNotRun, r.CrossedReply, r.OverLimit)
+	fmt.Fprintf(w, "target busy refusals %d, double runs %d, false not-run %d (and %d whose unanswered first copy ran), crossed answers %d, over limit %v\n",
+		r.Busy, r.DoubleRuns, r.FalseNotRun, r.FirstCopyRan, r.CrossedReply, r.OverLimit)
 }
--- a/load/run.go
+++ b/load/run.go
@@ -37,11 +37,13 @@
 	wait        *hdrhistogram.Histogram
 	outstanding map[string]map[string]int
 	notRun      []string
-	good        int
-	idempotent  int
-	samples     []sample
-	healthy     []string
-	wg          sync.WaitGroup
+	// secondNotRun holds calls refused as not run whose first copy got no reply.
+	secondNotRun []string
+	good         int
+	idempotent   int
+	samples      []sample
+	healthy      []string
+	wg           sync.WaitGroup
 }
 
 // New returns a run that shows its progress on the writer, which may be nil.
@@ -133,7 +135,9 @@
 	once  bool
 	// pick chooses among the entry processes that the balancer finds healthy.
 	pick uint64
-	body []byte
+	// again is set when an earlier copy of the call got no reply, so that only the second copy's outcome is known.
+	again bool
+	body  []byte
 }
 
 func (r *Run) start(q QueueSettings) {
@@ -192,6 +196,7 @@
 	began := time.Now()
 	err := r.try(c, resp)
 	if err != nil && !c.once {
+		c.again = true
 		c.pick++
 		err = r.try(c, resp)
 	}
@@ -232,7 +237,9 @@
 		// A body that is no JSON shows as an empty reason.
 		_ = json.Unmarshal(resp.Body(), &said)
 		r.report.Outcomes[outcome+" "+said.Reason]++
-		if outcome == entry.OutcomeNotRun {
+		if outcome == entry.OutcomeNotRun && c.again {
+			r.secondNotRun = append(r.secondNotRun, c.id)
+		} else if outcome == entry.OutcomeNotRun {
 			r.notRun = append(r.notRun, c.id)
 		}
 		if outcome == entry.OutcomeUnknown {
--- a/stand/stand.go
+++ b/stand/stand.go
@@ -78,6 +78,9 @@
 	s.wait.Wait()
 }
 
+// Hosts returns the settings of all hosts.
+func (s *Stand) Hosts() []HostSettings { return s.settings.Hosts }
+
 // Faults returns what is going wrong now.
 func (s *Stand) Faults() Faults {
 	s.mu.Lock()
