A process cut off from the platform learns the log from its peers

Cause, found by reading: a peer's word that it had read the log's end made a cut-off process count as fresh although it lacked the records, so that a withdrawn key would have worked there for ever; the word's age crept forward with each hop, and a paused process would have taken an old message for a new word.

Change: the word counts from before the call was sent, and only up to the offset that is folded here; missing records are fetched from the peer and folded in order. One peer in turn is asked each second.

Conclusion: withdrawal reaches a zone cut off from the platform alone.

--- a/claim/table.go
+++ b/claim/table.go
@@ -7,6 +7,7 @@
 	"github.com/google/uuid"
 
 	"lavenderwing.example/lavenderwing/follow"
+	"lavenderwing.example/lavenderwing/plat"
 	"lavenderwing.example/lavenderwing/record"
 )
 
@@ -69,8 +70,8 @@
 }
 
 // Fold applies one batch.
-func (t *Table) Fold(offset int64, b record.Batch) {
-	errs, fresh := t.apply(offset, b)
+func (t *Table) Fold(e plat.Entry, b record.Batch) {
+	errs, fresh := t.apply(e.Offset, b)
 	if fresh {
 		t.writer.Folded(b, errs)
 	}
--- a/entry/fresh.go
+++ b/entry/fresh.go
@@ -1,11 +1,22 @@
 package entry
 
-import "time"
+import (
+	"time"
+
+	"lavenderwing.example/lavenderwing/event"
+	"lavenderwing.example/lavenderwing/peer"
+)
 
 // unknownAge stands for the age of evidence that was never there.
 const unknownAge = 24 * time.Hour
 
-// freshAge returns the age of the newest evidence of the log's end, read by this process or told by a peer.
+// beatPeriod is how often one other process, each in turn, is asked for a sign of life.
+const beatPeriod = time.Second
+
+// relayMost is the most entries of the log that one call relays.
+const relayMost = 256
+
+// freshAge returns the age of the newest evidence that the state here is the log's end.
 func (n *Node) freshAge(now time.Time) time.Duration {
 	newest := n.stateTail.AtEnd()
 	if told := time.Unix(0, n.toldFresh.Load()); told.After(newest) {
@@ -14,15 +25,102 @@
 	return min(now.Sub(newest), unknownAge)
 }
 
-// heard takes a peer's word on how fresh it is.
-func (n *Node) heard(freshMs int64) {
-	at := n.clock.Now().Add(-time.Duration(freshMs) * time.Millisecond).UnixNano()
-	if at > n.toldFresh.Load() {
-		n.toldFresh.Store(at)
-	}
-}
-
 // mayTrustKeys reports whether the configuration is recent enough to decide on keys.
 func (n *Node) mayTrustKeys(now time.Time) bool {
 	return n.freshAge(now) <= n.settings.FreshFor+n.settings.IsolatedFor
 }
+
+// heard takes a peer's word on the log's end; the word counts from before the call was sent, so that no delay or pause makes it look newer than it is.
+func (n *Node) heard(seat string, sent time.Time, reply peer.Exchanged) {
+	if seat == n.settings.Seat {
+		return
+	}
+	if reply.Offset > n.state.Tables().Offset() {
+		n.catchUp(seat, reply.Offset)
+	}
+	if reply.Offset > n.state.Tables().Offset() {
+		return
+	}
+	at := sent.Add(-time.Duration(reply.FreshMs) * time.Millisecond).UnixNano()
+	for {
+		old := n.toldFresh.Load()
+		if at <= old || n.toldFresh.CompareAndSwap(old, at) {
+			return
+		}
+	}
+}
+
+// catchUp takes from a peer what it has read of the state stream and this process has not; while the log itself answers, it is left to the tail.
+func (n *Node) catchUp(seat string, offset int64) {
+	if n.clock.Now().Sub(n.stateTail.AtEnd()) < beatPeriod+answerWait {
+		return
+	}
+	for n.state.Tables().Offset() < offset {
+		before := n.state.Tables().Offset()
+		reply, err := n.peers.Since(seat, peer.Since{From: before + 1}, answerWait)
+		if err != nil {
+			return
+		}
+		n.state.Relay(reply.Entries)
+		if n.state.Tables().Offset() == before {
+			return
+		}
+		n.line.Add(event.KindLog, "state", seat, "relayed by a peer")
+	}
+}
+
+// Since answers another entry process that cannot read the log.
+func (n *Node) Since(args peer.Since) peer.Entries {
+	return peer.Entries{Entries: n.state.Since(args.From, relayMost)}
+}
+
+// beat asks the next live process for a sign of life.
+func (n *Node) beat(now time.Time) {
+	if now.Sub(n.beaten) < beatPeriod || len(n.seats) < 2 {
+		return
+	}
+	n.beaten = now
+	n.beats++
+	seat := n.seats[n.beats%len(n.seats)]
+	if seat == n.settings.Seat {
+		n.beats++
+		seat = n.seats[n.beats%len(n.seats)]
+	}
+	if n.suspects[seat].IsZero() {
+		go n.probe(seat, now)
+	}
+}
+
+// probeSuspects asks peers that did not answer for a sign of life, without letting any decision wait for it.
+func (n *Node) probeSuspects(now time.Time) {
+	for seat, since := range n.suspects {
+		if now.Sub(since) < probePeriod {
+			continue
+		}
+		n.suspects[seat] = now
+		go n.probe(seat, now)
+	}
+}
+
+func (n *Node) probe(seat string, sent time.Time) {
+	reply, err := n.peers.Exchange(seat, peer.Exchange{}, answerWait)
+	if err == nil {
+		n.heard(seat, sent, reply)
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	_, suspected := n.suspects[seat]
+	switch {
+	case err != nil && !suspected:
+		n.suspect(seat, err)
+	case err == nil && suspected:
+		delete(n.suspects, seat)
+		n.line.Add(event.KindMember, seat, "probe", "answers again")
+	}
+}
+
+// suspect passes over a peer that did not answer until it does.
+func (n *Node) suspect(seat string, err error) {
+	n.suspects[seat] = n.clock.Now()
+	n.line.Add(event.KindMember, seat, n.settings.Seat, "no answer: "+err.Error())
+}
--- a/entry/node.go
+++ b/entry/node.go
@@ -64,6 +64,8 @@
 	seats      []string
 	suspects   map[string]time.Time
 	exchangers map[string]*exchanger
+	beaten     time.Time
+	beats      int
 
 	home      *home
 	peers     *peer.Client
--- a/entry/path_test.go
+++ b/entry/path_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/sha256"
 	"encoding/json"
+	"fmt"
 	"net"
 	"testing"
 	"time"
@@ -55,11 +56,12 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	hash := sha256.Sum256([]byte(testToken))
 	done := make(chan error, 2)
-	for range 2 {
+	for i := range 2 {
 		s := DefaultSettings()
 		s.Listen, s.Seat, s.Zone, s.Platform = freeAddress(t), freeAddress(t), "sibiu-a", settings.Listen
+		s.Source = net.ParseIP(fmt.Sprintf("127.0.%d.1", 91+i))
 		s.Commit, s.MaxBody, s.Operators = shortest, 1<<16, map[string][]byte{"op": hash[:]}
-		n := New(s, plat.New(settings.Listen))
+		n := New(s, plat.New(settings.Listen, plat.WithSource(s.Source)))
 		b.nodes = append(b.nodes, n)
 		go func() { done <- n.Run(ctx) }()
 	}
@@ -165,6 +167,11 @@
 			b.stand.SetFaults(stand.Faults{})
 		})
 	}
+	t.Run("cut off from the platform", func(t *testing.T) {
+		b.t = t
+		testCutOff(is.New(t), b)
+		b.stand.SetFaults(stand.Faults{})
+	})
 	t.Run("withdrawn key", func(t *testing.T) {
 		b.t = t
 		testWithdrawnKey(is.New(t), b)
@@ -260,3 +267,24 @@
 		is.Equal(outcome, OutcomeNotRun)
 	}
 }
+
+// testCutOff cuts one process off from the platform alone: a change reaches it through its peer, and it stays fresh.
+func testCutOff(is *is.I, b *bench) {
+	key := fleet.KeyFrom("guest", "carvers", testSecret)
+	status, _ := b.change(record.Change{Puts: []record.Put{record.PutOf(key, 0)}})
+	is.Equal(status, fasthttp.StatusOK)
+	cut := b.nodes[1]
+	b.until("granted", func() bool { return cut.view().keys["guest"].Name != "" })
+	b.stand.SetFaults(stand.Faults{CutFrom: []string{"127.0.92.0/24"}})
+	granted, _ := b.nodes[0].state.Tables().Keys.Get("guest")
+	status, _ = b.change(record.Change{Puts: []record.Put{record.PutOf(granted.WithWithdrawn(), granted.At())}})
+	is.Equal(status, fasthttp.StatusOK)
+	b.until("withdrawn through the peer", func() bool { return cut.view().keys["guest"].Withdrawn })
+	status, _, _ = b.post(cut, proofsPath, `{}`, "Authorization", bearer+"guest."+testSecret, HeaderIdempotent, "true")
+	is.Equal(status, fasthttp.StatusUnauthorized)
+	behind := cut.stateTail.AtEnd()
+	b.until("fresh through the peer", func() bool { return time.Unix(0, cut.toldFresh.Load()).After(behind) })
+	// Work under other keys goes on.
+	status, _, _ = b.post(cut, proofsPath, `{"runMs":1}`, "Authorization", testKey, HeaderIdempotent, "true")
+	is.Equal(status, fasthttp.StatusOK)
+}
--- a/entry/server.go
+++ b/entry/server.go
@@ -23,7 +23,11 @@
 
 func (n *Node) newServer() *fasthttp.Server {
 	r := router.New()
-	r.POST(QueuesPath+"{queue}"+RequestsPath, n.serveRequest)
+	if n.settings.Forward != "" {
+		r.POST(QueuesPath+"{queue}"+RequestsPath, n.forward)
+	} else {
+		r.POST(QueuesPath+"{queue}"+RequestsPath, n.serveRequest)
+	}
 	r.POST(ChangesPath, n.operator(n.serveChange))
 	r.GET(TablesPath, n.operator(n.serveTables))
 	r.GET(StatusPath, n.operator(n.serveStatus))
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -22,6 +22,9 @@
 	// Division is how slots are divided over entry processes.
 	Division Division
 
+	// Forward is a target that takes every request without any decision, as a baseline of measurements, or empty.
+	Forward string
+
 	// Lease is how long elastic units of limits stay good after a renewal is sent.
 	Lease time.Duration
 	// Tick is the period of the systems that run over the tables.
@@ -119,6 +122,9 @@
 	s.Source = main.IP("source")
 	s.PeerSecret = file.Section("peers").String("secret", "")
 	s.Division = Division(main.OneOf("division", string(DivideByDemand), string(DivideByWeight), string(DivideEvenly)))
+	if main.Has("forward") {
+		s.Forward = main.Address("forward")
+	}
 	s.Lease = main.Duration("lease", s.Lease, time.Second, time.Hour)
 	s.Tick = main.Duration("tick", s.Tick, shortest, time.Second)
 	s.Commit = main.Duration("commit", s.Commit, shortest, time.Second)
--- a/entry/slots.go
+++ b/entry/slots.go
@@ -90,6 +90,7 @@
 		return
 	}
 	n.probeSuspects(now)
+	n.beat(now)
 	for _, x := range n.exchangers {
 		if now.Sub(x.confirmed) > creditFor {
 			// This process was paused or cut off for so long that its slots may be another's.
@@ -124,7 +125,7 @@
 	}
 	report := n.report(x, seat)
 	x.calls++
-	go n.exchange(x, seat, now, peer.Exchange{Report: report, HoldMs: int(holdFor.Milliseconds()), FreshMs: n.freshAge(now).Milliseconds()})
+	go n.exchange(x, seat, now, peer.Exchange{Report: report, HoldMs: int(holdFor.Milliseconds())})
 }
 
 // report tells an allocator what it does not know from the last report.
@@ -149,16 +150,17 @@
 	} else {
 		reply, err = n.peers.Exchange(seat, args, holdFor+answerWait)
 	}
+	if err == nil {
+		n.heard(seat, sent, reply)
+	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	x.calls--
 	if err != nil {
-		n.suspects[seat] = n.clock.Now()
 		x.knownTo = ""
-		n.line.Add(event.KindMember, seat, x.name, "no answer: "+err.Error())
+		n.suspect(seat, err)
 		return
 	}
-	n.heard(reply.FreshMs)
 	if reply.Allocation.Unknown {
 		x.knownTo = ""
 		return
@@ -169,30 +171,6 @@
 	n.apply(x, reply.Allocation)
 }
 
-// probeSuspects asks peers that did not answer for a sign of life, without letting any decision wait for it.
-func (n *Node) probeSuspects(now time.Time) {
-	for seat, since := range n.suspects {
-		if since.IsZero() || now.Sub(since) < probePeriod {
-			continue
-		}
-		n.suspects[seat] = now
-		go n.probe(seat)
-	}
-}
-
-func (n *Node) probe(seat string) {
-	args := peer.Exchange{FreshMs: n.freshAge(n.clock.Now()).Milliseconds()}
-	reply, err := n.peers.Exchange(seat, args, answerWait)
-	if err != nil {
-		return
-	}
-	n.heard(reply.FreshMs)
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	delete(n.suspects, seat)
-	n.line.Add(event.KindMember, seat, "probe", "answers again")
-}
-
 // apply puts an allocation in use unless a newer one came first.
 func (n *Node) apply(x *exchanger, a alloc.Allocation) {
 	if a.Same || a.Sequence <= x.applied {
@@ -228,12 +206,13 @@
 
 // Exchange answers another entry process, or this one, as the allocator of a service.
 func (n *Node) Exchange(args peer.Exchange) peer.Exchanged {
-	n.heard(args.FreshMs)
-	if args.Report.Service == "" {
-		return peer.Exchanged{FreshMs: n.freshAge(n.clock.Now()).Milliseconds()}
+	var a alloc.Allocation
+	if args.Report.Service != "" {
+		a = n.home.exchange(args.Report, time.Duration(args.HoldMs)*time.Millisecond)
 	}
-	a := n.home.exchange(args.Report, time.Duration(args.HoldMs)*time.Millisecond)
-	return peer.Exchanged{Allocation: a, FreshMs: n.freshAge(n.clock.Now()).Milliseconds()}
+	// The age is taken before the offset, so that the offset is never older than the evidence.
+	age := n.freshAge(n.clock.Now())
+	return peer.Exchanged{Allocation: a, FreshMs: age.Milliseconds(), Offset: n.state.Tables().Offset()}
 }
 
 // exchangersOf brings the list of services up to date.
--- a/follow/tail.go
+++ b/follow/tail.go
@@ -20,8 +20,8 @@
 
 // Folder takes the batches of one stream in the order of their offsets.
 type Folder interface {
-	// Fold takes one batch; the same or an older offset has no effect.
-	Fold(offset int64, b record.Batch)
+	// Fold takes one entry and the batch that it holds; the same or an older offset has no effect.
+	Fold(e plat.Entry, b record.Batch)
 	// Next returns the offset to read next.
 	Next() int64
 }
@@ -118,7 +118,7 @@
 		// An empty batch keeps the offset moving past an entry that nobody can read.
 		b = record.Batch{}
 	}
-	t.folder.Fold(e.Offset, b)
+	t.folder.Fold(e, b)
 }
 
 // AtEnd returns when the tail last asked for and reached the end of the stream, and the zero time when it never did.
--- a/peer/client.go
+++ b/peer/client.go
@@ -30,12 +30,24 @@
 
 // Exchange calls the peer at the seat and waits at most the given time.
 func (c *Client) Exchange(seat string, args Exchange, wait time.Duration) (Exchanged, error) {
+	var reply Exchanged
+	err := c.call(seat, methodExchange, &args, &reply, wait)
+	return reply, err
+}
+
+// Since asks the peer at the seat for entries of the state stream and waits at most the given time.
+func (c *Client) Since(seat string, args Since, wait time.Duration) (Entries, error) {
+	var reply Entries
+	err := c.call(seat, methodSince, &args, &reply, wait)
+	return reply, err
+}
+
+func (c *Client) call(seat, method string, args, reply any, wait time.Duration) error {
 	client, err := c.connect(seat)
 	if err != nil {
-		return Exchanged{}, err
+		return err
 	}
-	var reply Exchanged
-	call := client.Go(method, &args, &reply, make(chan *rpc.Call, 1))
+	call := client.Go(method, args, reply, make(chan *rpc.Call, 1))
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	select {
@@ -43,10 +55,12 @@
 		if call.Error != nil {
 			c.drop(seat, client)
 		}
-		return reply, call.Error
+		return call.Error
 	case <-timer.C:
+		// Closing the connection ends the call, so that a late answer is written nowhere.
 		c.drop(seat, client)
-		return Exchanged{}, &SilentError{Seat: seat}
+		<-call.Done
+		return &SilentError{Seat: seat}
 	}
 }
 
--- a/peer/wire.go
+++ b/peer/wire.go
@@ -1,14 +1,15 @@
 package peer
 
-import "lavenderwing.example/lavenderwing/alloc"
+import (
+	"lavenderwing.example/lavenderwing/alloc"
+	"lavenderwing.example/lavenderwing/plat"
+)
 
 // Exchange is the argument of the call of the same name; net/rpc needs it exported.
 type Exchange struct {
 	Report alloc.Report
 	// HoldMs is how long the answer may wait for a change of the allocation.
 	HoldMs int
-	// FreshMs is the age of the caller's newest evidence of the log's end.
-	FreshMs int64
 }
 
 // Exchanged is the reply to an Exchange.
@@ -16,16 +17,34 @@
 	Allocation alloc.Allocation
 	// FreshMs is the age of the answering process's newest evidence of the log's end.
 	FreshMs int64
+	// Offset is the last offset of the state stream that the answering process has folded.
+	Offset int64
+}
+
+// Since is the argument of the call of the same name.
+type Since struct {
+	// From is the first offset of the state stream that the caller lacks.
+	From int64
+}
+
+// Entries is the reply to a Since.
+type Entries struct {
+	Entries []plat.Entry
 }
 
 // Handler answers the calls of other entry processes.
 type Handler interface {
 	// Exchange takes a report and returns the seat's allocation.
 	Exchange(args Exchange) Exchanged
+	// Since returns entries of the state stream that the handler's process has read.
+	Since(args Since) Entries
 }
 
-// method is the name of the call on the wire.
-const method = "Peer.Exchange"
+// Names of the calls on the wire.
+const (
+	methodExchange = "Peer.Exchange"
+	methodSince    = "Peer.Since"
+)
 
 // service adapts a Handler to the form of methods that net/rpc serves.
 type service struct {
@@ -37,3 +56,9 @@
 	*reply = s.handler.Exchange(*args)
 	return nil
 }
+
+// Since serves one call.
+func (s *service) Since(args *Since, reply *Entries) error {
+	*reply = s.handler.Since(*args)
+	return nil
+}
