Leaving hosts get no new work; the time line covers all processes

Cause: the platform's word that a host leaves was read by nothing, and timeline showed one process only.

Change: each process reads the host list once a second (by its tag, so that an unchanged list costs no bytes) and treats leaving hosts as draining, in admission and in the division of slots; timeline asks all live processes, merges their events and names those that did not answer.

Test: with one of two hosts leaving, 20 of 20 requests run on the other, and both processes tell why.

Conclusion: a leaving host is out of use within about a second and a division.

--- a/cmds/democmd.go
+++ b/cmds/democmd.go
@@ -114,7 +114,8 @@
 		s := entry.DefaultSettings()
 		s.Listen, s.Seat, s.Zone, s.Platform = addresses[at], addresses[at+1], demoZone(i), settings.Listen
 		s.Operators["operator"] = fleet.KeyFrom("", "", demoSecret).Hash
-		n := entry.New(s, plat.New(settings.Listen))
+		platform := plat.New(settings.Listen)
+		n := entry.New(s, platform, platform)
 		ctx, kill := context.WithCancel(context.Background())
 		d.nodes = append(d.nodes, n)
 		d.kills = append(d.kills, kill)
--- a/cmds/timelinecmd.go
+++ b/cmds/timelinecmd.go
@@ -2,11 +2,11 @@
 
 import (
 	"flag"
+	"fmt"
 	"net/url"
 	"time"
 
 	"lavenderwing.example/lavenderwing/entry"
-	"lavenderwing.example/lavenderwing/event"
 )
 
 func timelineCmd() command {
@@ -14,7 +14,7 @@
 		short: "show the time line of events",
 		long: `Usage: lavenderwing timeline [-about NAME] [FLAGS]
 
-Shows what entry processes decided, oldest first: refusals, retries, ejected
+Shows what all live entry processes decided, oldest first: refusals, retries, ejected
 targets, leases, members and configuration.
 
 Example: lavenderwing timeline -about proofs-3`,
@@ -27,15 +27,18 @@
 }
 
 func (c *Config) runTimeline(_ []string) error {
-	var events []event.Event
-	if err := c.realSystem().Get(entry.TimelinePath+"?about="+url.QueryEscape(c.about), &events); err != nil {
+	var line entry.TimelineReply
+	if err := c.realSystem().Get(entry.TimelinePath+"?about="+url.QueryEscape(c.about), &line); err != nil {
 		return err
 	}
 	if c.json {
-		return c.printJSON(events)
+		return c.printJSON(line)
 	}
-	rows := make([][]string, len(events))
-	for i, e := range events {
+	for _, seat := range line.Silent {
+		fmt.Fprintf(c.Stderr, "no answer from %s: its part is missing\n", seat)
+	}
+	rows := make([][]string, len(line.Events))
+	for i, e := range line.Events {
 		rows[i] = []string{time.UnixMilli(e.TimeMs).UTC().Format(time.RFC3339Nano), e.Process, e.Zone, e.Kind, e.Subject, e.Cause, e.Detail}
 	}
 	return c.printTable([]string{"time", "process", "zone", "kind", "subject", "cause", "detail"}, rows)
--- a/entry/node.go
+++ b/entry/node.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -36,6 +37,7 @@
 type Node struct {
 	settings Settings
 	platform plat.Log
+	hostList plat.HostList
 	clock    clockwork.Clock
 	log      *zap.Logger
 	metrics  tally.Scope
@@ -67,8 +69,10 @@
 	seats      []string
 	suspects   map[string]time.Time
 	exchangers map[string]*exchanger
-	beaten     time.Time
-	beats      int
+	// leaving holds the hosts that the platform says it takes away.
+	leaving map[string]bool
+	beaten  time.Time
+	beats   int
 
 	home      *home
 	peers     *peer.Client
@@ -109,11 +113,12 @@
 }
 
 // New returns a node that is not running yet.
-func New(settings Settings, platform plat.Log, opts ...Option) *Node {
+func New(settings Settings, platform plat.Log, hosts plat.HostList, opts ...Option) *Node {
 	id := newIncarnation()
 	n := &Node{
 		settings:   settings,
 		platform:   platform,
+		hostList:   hosts,
 		clock:      clockwork.NewRealClock(),
 		log:        zap.NewNop(),
 		metrics:    tally.NoopScope,
@@ -172,15 +177,8 @@
 	defer n.mu.Unlock()
 	if t.Config() != n.version || n.version == 0 {
 		n.version = t.Config()
-		n.rows.Configure(layoutOf(t))
-		if open, ok := n.rows.Team(openTeam); ok {
-			n.rows.SetUsable(open, openLimit)
-		}
-		n.limited = n.limitedOf(t)
-		n.exchangersOf(t)
-		n.home.configure(layoutsOf(t))
-		n.current.Store(viewOf(t, n.rows))
-		n.line.Add(event.KindConfig, "version", "log", "")
+		n.layout(t)
+		n.line.Add(event.KindConfig, "version", "log", strconv.FormatInt(n.version, 10)+" in force")
 	}
 	n.seats = seatsOf(t)
 	maps.DeleteFunc(n.suspects, func(seat string, _ time.Time) bool { return !slices.Contains(n.seats, seat) })
@@ -189,6 +187,19 @@
 	}
 }
 
+// layout compiles the tables for admission and for the allocators.
+func (n *Node) layout(t fold.Tables) {
+	hosts := n.usableHosts(t)
+	n.rows.Configure(layoutOf(t, hosts))
+	if open, ok := n.rows.Team(openTeam); ok {
+		n.rows.SetUsable(open, openLimit)
+	}
+	n.limited = n.limitedOf(t)
+	n.exchangersOf(t)
+	n.home.configure(layoutsOf(t, hosts))
+	n.current.Store(viewOf(t, n.rows))
+}
+
 // Run serves until ctx ends, and then stops gracefully.
 func (n *Node) Run(ctx context.Context) error {
 	listener, err := net.Listen("tcp", n.settings.Listen)
@@ -209,7 +220,7 @@
 	defer cancel()
 	n.line.Add(event.KindStart, n.settings.Seat, "", "")
 	n.log.Info("started", zap.String("listen", n.settings.Listen), zap.String("zone", n.settings.Zone), zap.String("incarnation", n.writerID))
-	for _, run := range []func(context.Context){n.writer.Run, n.claimWriter.Run, n.stateTail.Run, n.claimTail.Run, n.tickForever} {
+	for _, run := range []func(context.Context){n.writer.Run, n.claimWriter.Run, n.stateTail.Run, n.claimTail.Run, n.watchHosts, n.tickForever} {
 		go run(background)
 	}
 	served := make(chan error, 1)
--- a/entry/operate.go
+++ b/entry/operate.go
@@ -136,7 +136,3 @@
 		Hosts:    t.Hosts.All(),
 	})
 }
-
-func (n *Node) serveTimeline(ctx *fasthttp.RequestCtx, _ string) {
-	writeJSON(ctx, fasthttp.StatusOK, n.line.About(string(ctx.QueryArgs().Peek("about"))))
-}
--- a/entry/path_test.go
+++ b/entry/path_test.go
@@ -61,7 +61,8 @@
 		s.Listen, s.Seat, s.Zone, s.Platform = freeAddress(t), freeAddress(t), "sibiu-a", settings.Listen
 		s.Source = net.ParseIP(fmt.Sprintf("127.0.%d.1", 91+i))
 		s.Commit, s.MaxBody, s.Operators = shortest, 1<<16, map[string][]byte{"op": hash[:]}
-		n := New(s, plat.New(settings.Listen, plat.WithSource(s.Source)))
+		platform := plat.New(settings.Listen, plat.WithSource(s.Source))
+		n := New(s, platform, platform)
 		b.nodes = append(b.nodes, n)
 		go func() { done <- n.Run(ctx) }()
 	}
@@ -167,6 +168,11 @@
 			b.stand.SetFaults(stand.Faults{})
 		})
 	}
+	t.Run("leaving host", func(t *testing.T) {
+		b.t = t
+		testLeavingHost(is.New(t), b)
+		b.stand.SetFaults(stand.Faults{})
+	})
 	t.Run("cut off from the platform", func(t *testing.T) {
 		b.t = t
 		testCutOff(is.New(t), b)
@@ -288,3 +294,45 @@
 	status, _, _ = b.post(cut, proofsPath, `{"runMs":1}`, "Authorization", testKey, HeaderIdempotent, "true")
 	is.Equal(status, fasthttp.StatusOK)
 }
+
+// testLeavingHost has the platform announce that a host leaves: it gets no new work, and the time line of any process says why.
+func testLeavingHost(is *is.I, b *bench) {
+	b.stand.SetFaults(stand.Faults{Leaving: []string{"proofs-1"}})
+	for _, n := range b.nodes {
+		b.until("drained", func() bool {
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			return n.leaving["proofs-1"]
+		})
+	}
+	for i := range 20 {
+		_, body, outcome := b.post(b.nodes[i%2], proofsPath, `{"runMs":1}`, "Authorization", testKey, HeaderIdempotent, "true")
+		is.Equal(outcome, OutcomeAnswered)
+		var result stand.Result
+		is.NoErr(json.Unmarshal([]byte(body), &result))
+		is.Equal(result.Target, "proofs-2")
+	}
+	status, body := b.get(b.nodes[0], TimelinePath+"?about=proofs-1")
+	is.Equal(status, fasthttp.StatusOK)
+	var line TimelineReply
+	is.NoErr(json.Unmarshal([]byte(body), &line))
+	processes := map[string]bool{}
+	for _, e := range line.Events {
+		processes[e.Process] = processes[e.Process] || e.Cause == "host list"
+	}
+	is.Equal(len(processes), 2) // both processes tell why
+}
+
+func (b *bench) get(n *Node, path string) (int, string) {
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	resp := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(resp)
+	req.SetRequestURI("http://" + n.settings.Listen + path)
+	req.Header.Set("Operator", "op")
+	req.Header.Set("Authorization", bearer+testToken)
+	if err := fasthttp.DoTimeout(req, resp, time.Minute); err != nil {
+		b.t.Fatal(err)
+	}
+	return resp.StatusCode(), string(resp.Body())
+}
--- a/entry/slots.go
+++ b/entry/slots.go
@@ -9,6 +9,7 @@
 	"lavenderwing.example/lavenderwing/admit"
 	"lavenderwing.example/lavenderwing/alloc"
 	"lavenderwing.example/lavenderwing/event"
+	"lavenderwing.example/lavenderwing/fleet"
 	"lavenderwing.example/lavenderwing/fold"
 	"lavenderwing.example/lavenderwing/peer"
 )
@@ -51,13 +52,13 @@
 }
 
 // layoutsOf returns what allocators need to know of each service.
-func layoutsOf(t fold.Tables) map[string]alloc.Layout {
+func layoutsOf(t fold.Tables, hosts []fleet.Host) map[string]alloc.Layout {
 	weights := map[string]int{openTeam: 1}
 	for _, team := range t.Teams.All() {
 		weights[team.Name] = team.Share
 	}
 	targets := map[string][]alloc.Target{}
-	for _, h := range t.Hosts.All() {
+	for _, h := range hosts {
 		if !h.Draining {
 			targets[h.Pool] = append(targets[h.Pool], alloc.Target{Name: h.Name, Slots: h.Slots})
 		}
--- a/entry/view.go
+++ b/entry/view.go
@@ -34,14 +34,14 @@
 // openLimit is the number of slots that requests without a team may use through one entry process.
 const openLimit = 1 << 20
 
-// layoutOf returns the part of the tables that admission needs.
-func layoutOf(t fold.Tables) admit.Layout {
+// layoutOf returns the part of the tables and of the hosts that admission needs.
+func layoutOf(t fold.Tables, hosts []fleet.Host) admit.Layout {
 	layout := admit.Layout{Teams: []admit.TeamLayout{{Name: openTeam, Share: 1}}}
 	for _, team := range t.Teams.All() {
 		layout.Teams = append(layout.Teams, admit.TeamLayout{Name: team.Name, Share: team.Share})
 	}
 	targets := map[string][]admit.TargetLayout{}
-	for _, h := range t.Hosts.All() {
+	for _, h := range hosts {
 		targets[h.Pool] = append(targets[h.Pool], admit.TargetLayout{
 			Name: h.Name, Address: h.Address, Zone: h.Zone, Slots: h.Slots, Draining: h.Draining,
 		})
--- a/load/balance.go
+++ b/load/balance.go
@@ -14,20 +14,21 @@
 	checkTimeout = 250 * time.Millisecond
 )
 
-// balance plays the platform's balancer: it sends requests only to entry processes that pass its health check.
-func (r *Run) balance(stop <-chan struct{}) {
-	ticker := time.NewTicker(checkPeriod)
+// every calls a function with the given period until stop is closed.
+func every(period time.Duration, stop <-chan struct{}, do func()) {
+	ticker := time.NewTicker(period)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-stop:
 			return
 		case <-ticker.C:
-			r.check()
+			do()
 		}
 	}
 }
 
+// check plays the platform's balancer, which sends requests only to entry processes that pass its health check.
 func (r *Run) check() {
 	passed := make([]bool, len(r.settings.Entries))
 	done := make(chan struct{})
--- a/load/run.go
+++ b/load/run.go
@@ -73,9 +73,9 @@
 	sampled := make(chan struct{})
 	go func() {
 		defer close(sampled)
-		r.sampleUntil(stopSampling)
+		every(samplePeriod, stopSampling, r.look)
 	}()
-	go r.balance(stopSampling)
+	go every(checkPeriod, stopSampling, r.check)
 	r.send()
 	close(stopSampling)
 	<-sampled
--- a/load/sample.go
+++ b/load/sample.go
@@ -24,19 +24,7 @@
 	teams []float64
 }
 
-func (r *Run) sampleUntil(stop <-chan struct{}) {
-	ticker := time.NewTicker(samplePeriod)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-stop:
-			return
-		case <-ticker.C:
-			r.look()
-		}
-	}
-}
-
+// look takes one sample of the pool whose queue bursts.
 func (r *Run) look() {
 	elapsed := time.Since(r.started)
 	if elapsed%r.settings.Turn < r.settings.Settle {
--- a/peer/client.go
+++ b/peer/client.go
@@ -42,6 +42,13 @@
 	return reply, err
 }
 
+// Events asks the peer at the seat for its part of the time line and waits at most the given time.
+func (c *Client) Events(seat string, args About, wait time.Duration) (Events, error) {
+	var reply Events
+	err := c.call(seat, methodEvents, &args, &reply, wait)
+	return reply, err
+}
+
 func (c *Client) call(seat, method string, args, reply any, wait time.Duration) error {
 	client, err := c.connect(seat)
 	if err != nil {
--- a/peer/wire.go
+++ b/peer/wire.go
@@ -2,6 +2,7 @@
 
 import (
 	"lavenderwing.example/lavenderwing/alloc"
+	"lavenderwing.example/lavenderwing/event"
 	"lavenderwing.example/lavenderwing/plat"
 )
 
@@ -32,18 +33,32 @@
 	Entries []plat.Entry
 }
 
+// About is the argument of a call for events.
+type About struct {
+	// Name restricts the events to one subject or cause, unless it is empty.
+	Name string
+}
+
+// Events is the reply to an About.
+type Events struct {
+	Events []event.Event
+}
+
 // Handler answers the calls of other entry processes.
 type Handler interface {
 	// Exchange takes a report and returns the seat's allocation.
 	Exchange(args Exchange) Exchanged
 	// Since returns entries of the state stream that the handler's process has read.
 	Since(args Since) Entries
+	// Events returns the handler's process's part of the time line.
+	Events(args About) Events
 }
 
 // Names of the calls on the wire.
 const (
 	methodExchange = "Peer.Exchange"
 	methodSince    = "Peer.Since"
+	methodEvents   = "Peer.Events"
 )
 
 // service adapts a Handler to the form of methods that net/rpc serves.
@@ -62,3 +77,9 @@
 	*reply = s.handler.Since(*args)
 	return nil
 }
+
+// Events serves one call.
+func (s *service) Events(args *About, reply *Events) error {
+	*reply = s.handler.Events(*args)
+	return nil
+}
--- a/plat/client.go
+++ b/plat/client.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/url"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -30,6 +31,11 @@
 type Client struct {
 	base string
 	http *fasthttp.Client
+
+	mu sync.Mutex
+	// tag and hosts are the newest host list, so that an unchanged one is not sent again.
+	tag   string
+	hosts []HostStatus
 }
 
 // Option changes how a Client is built.
@@ -84,30 +90,60 @@
 
 // Hosts returns the platform's host list.
 func (c *Client) Hosts(ctx context.Context) ([]HostStatus, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	resp := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(resp)
+	if err := c.do(ctx, fasthttp.MethodGet, c.base+HostsPath, nil, c.tag, callTimeout, resp); err != nil {
+		return nil, err
+	}
+	if resp.StatusCode() == fasthttp.StatusNotModified {
+		return c.hosts, nil
+	}
 	var hosts []HostStatus
-	err := c.call(ctx, fasthttp.MethodGet, c.base+HostsPath, nil, callTimeout, &hosts)
-	return hosts, err
+	if err := read(HostsPath, resp, &hosts); err != nil {
+		return nil, err
+	}
+	c.hosts = hosts
+	c.tag = string(resp.Header.Peek(fasthttp.HeaderETag))
+	return hosts, nil
 }
 
 func (c *Client) call(ctx context.Context, method, uri string, body []byte, timeout time.Duration, reply any) error {
+	resp := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(resp)
+	if err := c.do(ctx, method, uri, body, "", timeout, resp); err != nil {
+		return err
+	}
+	return read(method+" "+uri, resp, reply)
+}
+
+// do makes one call; with a tag, the answer may be that nothing changed since.
+func (c *Client) do(ctx context.Context, method, uri string, body []byte, tag string, timeout time.Duration, resp *fasthttp.Response) error {
 	if err := ctx.Err(); err != nil {
 		return err
 	}
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
-	resp := fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseResponse(resp)
 	req.Header.SetMethod(method)
 	req.SetRequestURI(uri)
 	req.SetBodyRaw(body)
+	if tag != "" {
+		req.Header.Set(fasthttp.HeaderIfNoneMatch, tag)
+	}
 	if err := c.http.DoTimeout(req, resp, timeout); err != nil {
-		return &OutageError{Operation: method + " " + string(req.URI().Path()), Cause: err}
+		return &OutageError{Operation: method + " " + uri, Cause: err}
 	}
+	return nil
+}
+
+// read takes the reply out of a successful answer.
+func read(operation string, resp *fasthttp.Response, reply any) error {
 	if resp.StatusCode() != fasthttp.StatusOK {
-		return &OutageError{Operation: method + " " + string(req.URI().Path()), Status: resp.StatusCode()}
+		return &OutageError{Operation: operation, Status: resp.StatusCode()}
 	}
 	if err := json.Unmarshal(resp.Body(), reply); err != nil {
-		return &OutageError{Operation: method + " " + string(req.URI().Path()), Cause: err}
+		return &OutageError{Operation: operation, Cause: err}
 	}
 	return nil
 }
--- a/stand/faults.go
+++ b/stand/faults.go
@@ -12,6 +12,8 @@
 	LoseAnswers int `json:"loseAnswers"`
 	// CutFrom lists source networks, as CIDR, that reach neither the log nor the host list.
 	CutFrom []string `json:"cutFrom"`
+	// Leaving lists hosts that the platform is about to take away.
+	Leaving []string `json:"leaving"`
 	// Targets holds faults by host name.
 	Targets map[string]TargetFault `json:"targets"`
 }
--- a/stand/stand.go
+++ b/stand/stand.go
@@ -3,10 +3,14 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"net"
+	"slices"
+	"strconv"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/fasthttp/router"
 	"github.com/gravitational/trace"
 	"github.com/valyala/fasthttp"
@@ -176,7 +180,23 @@
 	reply(ctx, page)
 }
 
-func (s *Stand) list(ctx *fasthttp.RequestCtx) { reply(ctx, s.hosts) }
+// list answers with the host list, in which hosts that are leaving say so.
+func (s *Stand) list(ctx *fasthttp.RequestCtx) {
+	leaving := s.Faults().Leaving
+	hosts := slices.Clone(s.hosts)
+	for i := range hosts {
+		if slices.Contains(leaving, hosts[i].Name) {
+			hosts[i].State = plat.HostLeaving
+		}
+	}
+	reply(ctx, hosts)
+	tag := fmt.Sprintf("%q", strconv.FormatUint(xxhash.Sum64(ctx.Response.Body()), 16))
+	ctx.Response.Header.Set(fasthttp.HeaderETag, tag)
+	if string(ctx.Request.Header.Peek(fasthttp.HeaderIfNoneMatch)) == tag {
+		ctx.Response.ResetBody()
+		ctx.SetStatusCode(fasthttp.StatusNotModified)
+	}
+}
 
 func (s *Stand) setFaults(ctx *fasthttp.RequestCtx) {
 	var f Faults
