--- a/alloc/table_test.go
+++ b/alloc/table_test.go
@@ -133,3 +133,16 @@
 	other.apply(table.Report(other.report(), now))
 	is.Equal(total(other.credits), 0) // another allocator may have given the slots away meanwhile
 }
+
+func TestOvertakenReportIsNoNews(t *testing.T) {
+	is := is.New(t)
+	table := New()
+	table.Configure(testLayout())
+	now := time.Unix(0, 0)
+	p := &process{name: "p0", credits: map[string]int{}, running: map[string]int{}, want: 9}
+	old := p.report()
+	p.want = 0
+	table.Report(p.report(), now)
+	table.Report(old, now)
+	is.Equal(table.seats["p0"].demands["p0"], 0)
+}
