A stop waits for a count of requests; slow receivers are bounded

Cause, found by reading: requests that arrive during a graceful stop add to a wait group that is being waited for, which may panic; a caller that reads its answer slowly held a connection without bound.

Change: an atomic count, polled each tick; a write timeout like the read timeout. Tests: entry's whole path and stop pass as before. Not reproduced.

Conclusion: mended by reading only.

--- a/entry/node.go
+++ b/entry/node.go
@@ -87,7 +87,8 @@
 	// killed nodes skip the graceful stop.
 	killed   atomic.Bool
 	listener atomic.Pointer[net.Listener]
-	busy     sync.WaitGroup
+	// serving counts requests that have no outcome yet.
+	serving  atomic.Int64
 	server   *fasthttp.Server
 	attempts atomic.Uint64
 }
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -21,8 +21,8 @@
 
 // serveRequest takes one caller's request from its arrival to its outcome.
 func (n *Node) serveRequest(ctx *fasthttp.RequestCtx) {
-	n.busy.Add(1)
-	defer n.busy.Done()
+	n.serving.Add(1)
+	defer n.serving.Add(-1)
 	refused := n.handle(ctx)
 	if n.killed.Load() {
 		ctx.HijackSetNoResponse(true)
--- a/entry/server.go
+++ b/entry/server.go
@@ -52,6 +52,7 @@
 		Concurrency:           n.settings.MaxCallers,
 		MaxRequestBodySize:    n.settings.MaxBody,
 		ReadTimeout:           n.settings.ReadWait,
+		WriteTimeout:          n.settings.ReadWait,
 		IdleTimeout:           n.settings.ReadWait,
 		NoDefaultServerHeader: true,
 		CloseOnShutdown:       true,
--- a/entry/stop.go
+++ b/entry/stop.go
@@ -20,15 +20,9 @@
 	n.stopping.Store(true)
 	n.line.Add(event.KindStop, n.settings.Seat, "", "graceful")
 	n.clock.Sleep(balancerWait)
-	finished := make(chan struct{})
-	go func() {
-		n.busy.Wait()
-		close(finished)
-	}()
-	select {
-	case <-finished:
+	if n.drain() {
 		n.leave(background)
-	case <-n.clock.After(n.settings.StopWait):
+	} else {
 		n.log.Warn("stopped with requests still running")
 	}
 	ctx, cancel := context.WithTimeout(background, leaveWait)
@@ -39,6 +33,18 @@
 	n.log.Info("stopped")
 }
 
+// drain waits until every request has its outcome, and returns false when that takes too long.
+func (n *Node) drain() bool {
+	end := n.clock.Now().Add(n.settings.StopWait)
+	for n.serving.Load() > 0 {
+		if n.clock.Now().After(end) {
+			return false
+		}
+		n.clock.Sleep(n.settings.Tick)
+	}
+	return true
+}
+
 // leave tells the others that nothing of this process runs any more, unless a given-up request may.
 func (n *Node) leave(background context.Context) {
 	n.mu.Lock()
