A repeat gets the answer of the request that ran

Cause: a caller whose connection broke repeats under the same identifier and was told unknown, although the process that sent the request still had its answer.

Change: the newest answers to requests that must not run twice are kept by the process that sent them, which is named in its claims; a repeat at any process gets the answer from there, only for the same team.

Test: three sends at two processes, one run, three equal answers; another team and a lost memory get unknown.

--- a/entry/node.go
+++ b/entry/node.go
@@ -51,6 +51,7 @@
 	claimWriter *follow.Writer
 	state       *follow.State
 	claims      *claim.Table
+	answers     answers
 	stateTail   *follow.Tail
 	claimTail   *follow.Tail
 	current     atomic.Pointer[view]
@@ -123,7 +124,8 @@
 		clock:      clockwork.NewRealClock(),
 		log:        zap.NewNop(),
 		metrics:    tally.NoopScope,
-		writerID:   id,
+		writerID:   writerOf(settings.Seat, id),
+		answers:    newAnswers(),
 		budgets:    map[admit.Service]*admit.Budget{},
 		pools:      map[string]*conns.Pool{},
 		suspects:   map[string]time.Time{},
--- a/entry/once.go
+++ b/entry/once.go
@@ -14,37 +14,33 @@
 // unclaimWait bounds how long a refusal waits for the return of its claim.
 const unclaimWait = 500 * time.Millisecond
 
-// claim makes this process the only one that may send the request, and refuses it when another was first.
-func (n *Node) claim(r *request) *refusal {
+// claim makes this process the only one that may send the request, and returns the error that tells why it may not.
+func (n *Node) claim(r *request) error {
 	now := n.clock.Now()
 	if err := n.claims.Check(r.uuid, now); err != nil {
-		return claimRefusal(err)
+		return err
 	}
 	wait := min(r.queue.MaxWait(), r.deadline.Sub(now))
 	ctx, cancel := context.WithTimeout(context.Background(), wait)
 	defer cancel()
 	err := n.claimWriter.Await(ctx, record.Claim{Request: r.uuid})
-	if err == nil {
-		return nil
-	}
 	if errors.Is(err, context.DeadlineExceeded) {
 		// The claim may still take effect; nothing was sent, and giving it back lets a repeat run.
 		n.submitUnclaim(r)
-		return notRun(fasthttp.StatusServiceUnavailable, "logUnavailable", "the claim of the request could not be made lasting in time").withRetry(retryHint)
 	}
-	return claimRefusal(err)
+	return err
 }
 
 func claimRefusal(err error) *refusal {
 	var taken *claim.TakenError
 	if errors.As(err, &taken) {
-		return unknown("repeated", "this Request-Id was already taken by an earlier request").withStatus(fasthttp.StatusConflict)
+		return unknown("repeated", "this Request-Id was already taken by an earlier request").withStatus(fasthttp.StatusConflict).withRetry(retryHint)
 	}
 	var age *claim.AgeError
 	if errors.As(err, &age) {
 		return unknown("requestIdTooOld", "this Request-Id was issued outside the time for which requests are remembered").withStatus(fasthttp.StatusConflict)
 	}
-	return notRun(fasthttp.StatusServiceUnavailable, "logUnavailable", "the claim of the request could not be made").withRetry(retryHint)
+	return notRun(fasthttp.StatusServiceUnavailable, "logUnavailable", "the claim of the request could not be made lasting in time").withRetry(retryHint)
 }
 
 // claimedHere reports whether this process still owns the claim.
--- a/entry/path_test.go
+++ b/entry/path_test.go
@@ -201,12 +201,23 @@
 
 func testRepeatAtAnotherNode(is *is.I, b *bench) {
 	id := newID()
-	for i, want := range []string{OutcomeAnswered, OutcomeUnknown, OutcomeUnknown} {
-		n := b.nodes[i%2]
-		_, _, outcome := b.post(n, proofsPath, `{"runMs":1}`, "Authorization", testKey, HeaderRequest, id)
-		is.Equal(outcome, want)
+	var first string
+	for i := range 3 {
+		_, body, outcome := b.post(b.nodes[i%2], proofsPath, `{"runMs":1}`, "Authorization", testKey, HeaderRequest, id)
+		is.Equal(outcome, OutcomeAnswered)
+		if i == 0 {
+			first = body
+		}
+		is.Equal(body, first)
 	}
 	is.Equal(b.stand.Ran([]string{id})[id], 1)
+	// Another team learns nothing of the answer, and a process that lost it says so.
+	_, _, outcome := b.post(b.nodes[1], QueuesPath+"catalogue"+RequestsPath, `{"runMs":1}`, HeaderRequest, id)
+	is.Equal(outcome, OutcomeUnknown)
+	b.nodes[0].answers.cache.Purge()
+	_, _, outcome = b.post(b.nodes[1], proofsPath, `{"runMs":1}`, "Authorization", testKey, HeaderRequest, id)
+	is.Equal(outcome, OutcomeUnknown)
+	is.Equal(b.stand.Ran([]string{id})[id], 1)
 }
 
 // testErrorAnswerOfOnceRequest covers a target's error answer to a request that must not be tried again.
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -49,12 +49,18 @@
 		return n.refused(r.id, refused)
 	}
 	if !r.idempotent {
-		if refused := n.claim(&r); refused != nil {
-			return n.refused(r.id, refused)
+		if err := n.claim(&r); err != nil {
+			if n.repeat(ctx, &r, err) {
+				return nil
+			}
+			return n.refused(r.id, claimRefusal(err))
 		}
 	}
 	outcome := n.dispatch(ctx, &r)
 	if outcome == nil {
+		if !r.idempotent {
+			n.answers.keep(&r, &ctx.Response)
+		}
 		return nil
 	}
 	if !r.idempotent && outcome.Outcome == OutcomeNotRun {
--- a/entry/server.go
+++ b/entry/server.go
@@ -7,6 +7,7 @@
 	"github.com/fasthttp/router"
 	"github.com/valyala/fasthttp"
 	"github.com/valyala/fasthttp/fasthttpadaptor"
+	"go.uber.org/zap"
 )
 
 // Paths of the HTTP interface.
@@ -42,7 +43,8 @@
 	r.MethodNotAllowed = func(ctx *fasthttp.RequestCtx) {
 		notRun(fasthttp.StatusMethodNotAllowed, "methodNotAllowed", "this path takes another method").write(ctx)
 	}
-	r.PanicHandler = func(ctx *fasthttp.RequestCtx, _ any) {
+	r.PanicHandler = func(ctx *fasthttp.RequestCtx, cause any) {
+		n.log.Error("request failed", zap.Any("cause", cause), zap.Stack("stack"))
 		unknown("internal", "the entry process failed on this request").withStatus(fasthttp.StatusInternalServerError).write(ctx)
 	}
 	return &fasthttp.Server{
--- a/peer/client.go
+++ b/peer/client.go
@@ -49,6 +49,13 @@
 	return reply, err
 }
 
+// Answer asks the peer at the seat for the answer to a request that it sent and waits at most the given time.
+func (c *Client) Answer(seat string, args Repeat, wait time.Duration) (Answer, error) {
+	var reply Answer
+	err := c.call(seat, methodAnswer, &args, &reply, wait)
+	return reply, err
+}
+
 func (c *Client) call(seat, method string, args, reply any, wait time.Duration) error {
 	client, err := c.connect(seat)
 	if err != nil {
--- a/peer/wire.go
+++ b/peer/wire.go
@@ -1,6 +1,8 @@
 package peer
 
 import (
+	"github.com/google/uuid"
+
 	"lavenderwing.example/lavenderwing/alloc"
 	"lavenderwing.example/lavenderwing/event"
 	"lavenderwing.example/lavenderwing/plat"
@@ -44,6 +46,21 @@
 	Events []event.Event
 }
 
+// Repeat is the argument of a call for the answer to a request that the callee sent.
+type Repeat struct {
+	Request uuid.UUID
+	Team    string
+}
+
+// Answer is the reply to a Repeat.
+type Answer struct {
+	Found       bool
+	Team        string
+	Status      int
+	ContentType string
+	Body        []byte
+}
+
 // Handler answers the calls of other entry processes.
 type Handler interface {
 	// Exchange takes a report and returns the seat's allocation.
@@ -52,6 +69,8 @@
 	Since(args Since) Entries
 	// Events returns the handler's process's part of the time line.
 	Events(args About) Events
+	// Answer returns the answer to an earlier request of the same team, if it is still kept.
+	Answer(args Repeat) Answer
 }
 
 // Names of the calls on the wire.
@@ -59,6 +78,7 @@
 	methodExchange = "Peer.Exchange"
 	methodSince    = "Peer.Since"
 	methodEvents   = "Peer.Events"
+	methodAnswer   = "Peer.Answer"
 )
 
 // service adapts a Handler to the form of methods that net/rpc serves.
@@ -83,3 +103,9 @@
 	*reply = s.handler.Events(*args)
 	return nil
 }
+
+// Answer serves one call.
+func (s *service) Answer(args *Repeat, reply *Answer) error {
+	*reply = s.handler.Answer(*args)
+	return nil
+}
