The pick among waiting teams reads memory in order; divisions only on news

Ruled out: a heap, whose lanes would have to leave and return whenever a team reaches its limit.

Change: keys stand in one array and are kept when counts change; a team's limit is looked at only for a better key. The allocator divides when something changed.

No allocation.

--- a/admit/demand.go
+++ b/admit/demand.go
@@ -77,6 +77,9 @@
 			t.lane(s, i).quota = q.Slots + q.Spare
 		}
 	}
+	for _, a := range row.active {
+		t.rekey(row, a.lane)
+	}
 }
 
 // levelQuota returns what a team may have that its service's allocator has not heard of.
--- a/admit/lane.go
+++ b/admit/lane.go
@@ -45,11 +45,19 @@
 	l.waiting--
 }
 
-// before reports whether the lane is further below its due part than the other.
-func (l *lane) before(o *lane, weight, otherWeight int) bool {
-	mine, theirs := l.quota, o.quota
-	if mine == 0 && theirs == 0 {
-		mine, theirs = weight, otherWeight
+// key orders lanes by how full their due part would be with one more request; a team without a due part comes last, by weight.
+func (l *lane) key(weight int) float64 {
+	if l.quota > 0 {
+		return float64(l.running+1) / float64(l.quota)
 	}
-	return (l.running+1)*max(theirs, 0) < (o.running+1)*max(mine, 0)
+	return withoutQuota + float64(l.running+1)/float64(max(weight, 1))
+}
+
+// withoutQuota is above every key of a lane with a quota.
+const withoutQuota = 1 << 30
+
+// activeLane keeps a lane's key beside it, so that a scan reads memory in order.
+type activeLane struct {
+	key  float64
+	lane *lane
 }
--- a/admit/start.go
+++ b/admit/start.go
@@ -1,6 +1,7 @@
 package admit
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -37,7 +38,7 @@
 	tm.waiting++
 	if l.active < 0 {
 		l.active = len(row.active)
-		row.active = append(row.active, l)
+		row.active = append(row.active, activeLane{key: l.key(tm.weight), lane: l})
 		tm.services = append(tm.services, w.Service)
 	}
 }
@@ -69,8 +70,16 @@
 	t.targets[i].running++
 	t.refresh(i)
 	t.teams[w.Team].running++
-	t.services[w.Service].running++
-	t.lane(w.Service, w.Team).running++
+	t.count(w, 1)
+}
+
+// count adds to the running requests of a waiter's service and lane.
+func (t *Table) count(w *Waiter, delta int) {
+	row := &t.services[w.Service]
+	row.running += delta
+	l := t.lane(w.Service, w.Team)
+	l.running += delta
+	t.rekey(row, l)
 }
 
 // Finish frees the slot of a started request and starts others in its place.
@@ -82,8 +91,7 @@
 	t.targets[w.Target].running--
 	t.refresh(w.Target)
 	t.teams[w.Team].running--
-	t.services[w.Service].running--
-	t.lane(w.Service, w.Team).running--
+	t.count(w, -1)
 	t.Dispatch(w.Service)
 	// The freed unit of the limit may let the same team start elsewhere.
 	for n := len(t.teams[w.Team].services) - 1; n >= 0; n-- {
@@ -121,7 +129,7 @@
 	}
 	last := row.active[len(row.active)-1]
 	row.active[l.active] = last
-	last.active = l.active
+	last.lane.active = l.active
 	row.active = row.active[:len(row.active)-1]
 	l.active = -1
 	i := slices.Index(tm.services, s)
@@ -147,14 +155,16 @@
 // pick returns the lane that is furthest below its due part among those that may start a request.
 func (t *Table) pick(s Service) *lane {
 	var best *lane
-	for _, l := range t.services[s].active {
-		tm := &t.teams[l.team]
-		if tm.running >= tm.usable {
+	least := math.Inf(1)
+	for _, a := range t.services[s].active {
+		if a.key >= least {
 			continue
 		}
-		if best == nil || l.before(best, tm.weight, t.teams[best.team].weight) {
-			best = l
+		if tm := &t.teams[a.lane.team]; tm.running >= tm.usable {
+			continue
 		}
+		best = a.lane
+		least = a.key
 	}
 	return best
 }
--- a/admit/table.go
+++ b/admit/table.go
@@ -24,7 +24,7 @@
 	// lanes is indexed by team and filled on first use.
 	lanes []*lane
 	// active lists the lanes with waiters.
-	active  []*lane
+	active  []activeLane
 	ejected int
 	running int
 	waiting int
@@ -117,6 +117,13 @@
 	return t.teams[i].running, t.teams[i].waiting
 }
 
+// rekey brings the key of a waiting lane up to date after its running requests or its quota changed.
+func (t *Table) rekey(row *service, l *lane) {
+	if l.active >= 0 {
+		row.active[l.active].key = l.key(t.teams[l.team].weight)
+	}
+}
+
 // lane returns a team's lane at a service.
 func (t *Table) lane(s Service, i Team) *lane {
 	row := &t.services[s]
--- a/admit/tick.go
+++ b/admit/tick.go
@@ -17,7 +17,7 @@
 		active := t.services[s].active
 		// Lanes that become empty leave the list, which moves only later ones.
 		for n := len(active) - 1; n >= 0; n-- {
-			t.expireLane(active[n], now)
+			t.expireLane(active[n].lane, now)
 		}
 	}
 }
--- a/alloc/table.go
+++ b/alloc/table.go
@@ -48,13 +48,18 @@
 	level   float64
 	spare   map[string]int
 	turn    int
+	// dirty is set when the division no longer matches what is known.
+	dirty bool
 }
 
 // New returns an allocator that has heard nothing.
 func New() *Table { return &Table{seats: map[string]*seat{}} }
 
 // Configure replaces the layout.
-func (t *Table) Configure(l Layout) { t.layout = l }
+func (t *Table) Configure(l Layout) {
+	t.layout = l
+	t.dirty = true
+}
 
 // Report takes a seat's report and returns its allocation.
 func (t *Table) Report(r Report, now time.Time) Allocation {
@@ -76,8 +81,10 @@
 }
 
 func (t *Table) answer(s *seat, applied uint64, now time.Time) Allocation {
-	t.forget(now)
-	t.divide(now)
+	if t.forget(now) || t.dirty || now.Sub(t.rotated) >= rotation {
+		t.divide(now)
+		t.dirty = false
+	}
 	a := t.allocate(s, now)
 	if a.Sequence == applied {
 		return Allocation{Sequence: applied, Same: true}
@@ -133,6 +140,7 @@
 		return s
 	}
 	s.number = r.Number
+	t.dirty = true
 	s.demands = map[string]int{}
 	for _, d := range r.Demands {
 		s.demands[d.Team] += d.Want
@@ -167,13 +175,11 @@
 	s.committed[target] = max(s.committed[target], n)
 }
 
-// forget drops seats that have been silent for too long.
-func (t *Table) forget(now time.Time) {
-	for name, s := range t.seats {
-		if now.Sub(s.heard) > Silence {
-			delete(t.seats, name)
-		}
-	}
+// forget drops seats that have been silent for too long, and reports whether there were any.
+func (t *Table) forget(now time.Time) bool {
+	before := len(t.seats)
+	maps.DeleteFunc(t.seats, func(_ string, s *seat) bool { return now.Sub(s.heard) > Silence })
+	return len(t.seats) != before
 }
 
 // divide sets each seat's quotas and due slots: max-min fair over teams by weight, then over seats by demand.
