Tests' verdicts no longer depend on ports or the order of late bytes

Cause: two tests failed once while the machine was busy. Ports found free were taken by outgoing connections before the test listened on them; and an answer that comes late may arrive just after the look at the idle connection, in which case the next try's outcome is unknown, rightly.

Change: tests and the demonstration listen on a loopback IP number of their own process, below the kernel's outgoing ports; the test of late answers waits for the late bytes, and another one lets them race 200 times and checks that no try ever gets another's answer, which is as strict as the promise.

Conclusion: seen flaky, cause found, mended.

--- a/cmds/democmd.go
+++ b/cmds/democmd.go
@@ -4,7 +4,6 @@
 	"context"
 	"flag"
 	"fmt"
-	"net"
 	"strconv"
 	"time"
 
@@ -93,10 +92,7 @@
 
 // newDemo starts the stand-in and the entry nodes on free ports.
 func newDemo() (*demo, error) {
-	addresses, err := freeAddresses(1 + 2*demoHosts + 2*demoEntries)
-	if err != nil {
-		return nil, err
-	}
+	addresses := stand.Loopback(1 + 2*demoHosts + 2*demoEntries)
 	settings := stand.Settings{Listen: addresses[0], Keep: 100_000}
 	for i := range 2 * demoHosts {
 		pool := []string{"proofs", "suits"}[i/demoHosts]
@@ -171,17 +167,3 @@
 	}
 	return err
 }
-
-// freeAddresses returns loopback addresses that nobody listens on.
-func freeAddresses(n int) ([]string, error) {
-	var addresses []string
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return nil, err
-		}
-		defer l.Close()
-		addresses = append(addresses, l.Addr().String())
-	}
-	return addresses, nil
-}
--- a/cmds/main_test.go
+++ b/cmds/main_test.go
@@ -10,6 +10,8 @@
 
 	"github.com/rogpeppe/go-internal/testscript"
 	"github.com/valyala/fasthttp"
+
+	"lavenderwing.example/lavenderwing/stand"
 )
 
 func TestMain(m *testing.M) {
@@ -18,7 +20,7 @@
 	})
 }
 
-// scriptPorts is the number of free ports that each script gets as $P0, $P1 and so on.
+// scriptPorts is the number of free ports that each script gets as $P0, $P1 and so on, at the IP number $IP.
 const scriptPorts = 24
 
 func TestScripts(t *testing.T) {
@@ -36,16 +38,12 @@
 }
 
 func setPorts(env *testscript.Env) error {
-	for i := range scriptPorts {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return err
-		}
-		defer l.Close()
-		_, port, err := net.SplitHostPort(l.Addr().String())
+	for i, address := range stand.Loopback(scriptPorts) {
+		ip, port, err := net.SplitHostPort(address)
 		if err != nil {
 			return err
 		}
+		env.Setenv("IP", ip)
 		env.Setenv(fmt.Sprintf("P%d", i), port)
 	}
 	return nil
--- a/conns/pool_test.go
+++ b/conns/pool_test.go
@@ -103,6 +103,29 @@
 	is.True(err != nil)
 }
 
+// awaitNoise waits until the idle connection, if there is one, is closed or holds bytes that nobody asked for.
+func awaitNoise(p *Pool) {
+	for len(p.idle) > 0 && p.idle[0].quiet() {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// TestAnswerOfAnotherTryIsNeverGiven lets late answers race with the next request, whose outcome may then be unknown but never another's answer.
+func TestAnswerOfAnotherTryIsNeverGiven(t *testing.T) {
+	late := func(c net.Conn, attempt string) {
+		whole(c, attempt)
+		whole(c, "late")
+	}
+	p := New(target(t, late))
+	for i := range 200 {
+		attempt := fmt.Sprint(i)
+		outcome, body, _ := do(p, attempt)
+		if outcome == Answered && body != "answer to "+attempt {
+			t.Fatalf("try %s was answered with %q", attempt, body)
+		}
+	}
+}
+
 // TestLateAnswerIsDropped lets the answer to the first request arrive after its end, on the connection that the second would reuse.
 func TestLateAnswerIsDropped(t *testing.T) {
 	is := is.New(t)
@@ -113,6 +136,7 @@
 	p := New(target(t, late, whole))
 	outcome, _, _ := do(p, "one")
 	is.Equal(outcome, Answered)
+	awaitNoise(p)
 	outcome, body, _ := do(p, "two")
 	is.Equal(outcome, Answered)
 	is.Equal(body, "answer to two")
@@ -131,12 +155,7 @@
 	outcome, _, _ := do(p, "one")
 	is.Equal(outcome, Answered)
 	<-closed
-	for range 100 {
-		if !p.idle[0].quiet() {
-			break
-		}
-		time.Sleep(10 * time.Millisecond)
-	}
+	awaitNoise(p)
 	outcome, _, _ = do(p, "two")
 	is.Equal(outcome, Answered)
 }
--- a/entry/path_test.go
+++ b/entry/path_test.go
@@ -31,22 +31,14 @@
 	nodes []*Node
 }
 
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	return l.Addr().String()
-}
+func freeAddress() string { return stand.Loopback(1)[0] }
 
 func newBench(t *testing.T) *bench {
 	t.Helper()
-	settings := stand.Settings{Listen: freeAddress(t), Keep: 10000}
+	settings := stand.Settings{Listen: freeAddress(), Keep: 10000}
 	for _, name := range []string{"proofs-1", "proofs-2"} {
 		settings.Hosts = append(settings.Hosts, stand.HostSettings{
-			Name: name, Pool: "proofs", Zone: "sibiu-a", Address: freeAddress(t), Slots: 8, Connections: 64,
+			Name: name, Pool: "proofs", Zone: "sibiu-a", Address: freeAddress(), Slots: 8, Connections: 64,
 		})
 	}
 	b := &bench{t: t, stand: stand.New(settings)}
@@ -58,7 +50,7 @@
 	done := make(chan error, 2)
 	for i := range 2 {
 		s := DefaultSettings()
-		s.Listen, s.Seat, s.Zone, s.Platform = freeAddress(t), freeAddress(t), "sibiu-a", settings.Listen
+		s.Listen, s.Seat, s.Zone, s.Platform = freeAddress(), freeAddress(), "sibiu-a", settings.Listen
 		s.Source = net.ParseIP(fmt.Sprintf("127.0.%d.1", 91+i))
 		s.Commit, s.MaxBody, s.Operators = shortest, 1<<16, map[string][]byte{"op": hash[:]}
 		platform := plat.New(settings.Listen, plat.WithSource(s.Source))
