Processes take part only in services that they have requests for; smaller heaps

Change: a process without requests for a service for 10 s leaves its division, and comes back with its first request, which waits for one exchange, or half a second where nobody took part. The heap grows by half instead of twice.

--- a/cmds/entrycmd.go
+++ b/cmds/entrycmd.go
@@ -5,6 +5,7 @@
 	"flag"
 	"fmt"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -17,6 +18,9 @@
 	"lavenderwing.example/lavenderwing/plat"
 )
 
+// gcPercent trades processor time for memory, which entry hosts have little of.
+const gcPercent = 50
+
 func entryCmd() command {
 	return command{
 		short: "run the process on an entry host",
@@ -43,6 +47,7 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
+	debug.SetGCPercent(gcPercent)
 	graph, err := c.entryGraph(settings)
 	if err != nil {
 		return err
--- a/entry/slots.go
+++ b/entry/slots.go
@@ -24,6 +24,8 @@
 	creditFor = alloc.Silence - 500*time.Millisecond
 	// probePeriod is how often a peer that did not answer is asked for a sign of life.
 	probePeriod = 500 * time.Millisecond
+	// restAfter is how long a process without requests for a service goes on taking part in its division.
+	restAfter = 10 * time.Second
 	// lackPeriod and changePeriod are the shortest times between two reports while work waits, and otherwise.
 	lackPeriod   = 20 * time.Millisecond
 	changePeriod = 100 * time.Millisecond
@@ -40,7 +42,9 @@
 	sent  time.Time
 	// confirmed is when the exchange that last confirmed the slots was sent.
 	confirmed time.Time
-	demands   []alloc.Demand
+	// busyAt is when the service last had requests here.
+	busyAt  time.Time
+	demands []alloc.Demand
 	// knownTo is the seat that has the last whole report, whose parts follow.
 	knownTo      string
 	knownDemands []alloc.Demand
@@ -93,12 +97,17 @@
 	n.probeSuspects(now)
 	n.beat(now)
 	for _, x := range n.exchangers {
-		if now.Sub(x.confirmed) > creditFor {
-			// This process was paused or cut off for so long that its slots may be another's.
+		if now.Sub(x.confirmed) > creditFor && x.applied > 0 {
+			// This process was silent for so long that its slots may be another's.
 			n.rows.SetCredits(x.service, nil)
 			x.applied = 0
 			x.knownTo = ""
 		}
+		if !n.rows.Quiet(x.service) {
+			x.busyAt = now
+		} else if now.Sub(x.busyAt) > restAfter {
+			continue
+		}
 		if x.calls > 0 && len(x.demands) == 0 && x.excess == 0 && n.rows.Quiet(x.service) {
 			continue
 		}
