An allocation that waited through a pause is not applied

Change: answers to calls sent longer ago than slots are valid are ignored; signs of life are asked for in every mode of division.

--- a/entry/node.go
+++ b/entry/node.go
@@ -66,8 +66,9 @@
 	limitsAt     time.Time
 	budgets      map[admit.Service]*admit.Budget
 	version      int64
-	// seats are the live entry processes, and suspects those that did not answer until a time.
-	seats      []string
+	// seats are the live entry processes in order.
+	seats []string
+	// suspects holds when peers that did not answer were last asked.
 	suspects   map[string]time.Time
 	exchangers map[string]*exchanger
 	// leaving holds the hosts that the platform says it takes away.
@@ -273,6 +274,8 @@
 	defer n.mu.Unlock()
 	n.keepLease(now)
 	n.keepLimits(now)
+	n.probeSuspects(now)
+	n.beat(now)
 	n.exchangeSlots(now)
 	n.rows.Tick(now)
 }
--- a/entry/slots.go
+++ b/entry/slots.go
@@ -94,8 +94,6 @@
 	if n.settings.Division == DivideEvenly {
 		return
 	}
-	n.probeSuspects(now)
-	n.beat(now)
 	for _, x := range n.exchangers {
 		if now.Sub(x.confirmed) > creditFor && x.applied > 0 {
 			// This process was silent for so long that its slots may be another's.
@@ -155,6 +153,7 @@
 	return r
 }
 
+// exchange makes one call to the allocator, which may be this very process, and applies its answer.
 func (n *Node) exchange(x *exchanger, seat string, sent time.Time, args peer.Exchange) {
 	var reply peer.Exchanged
 	var err error
@@ -174,7 +173,8 @@
 		n.suspect(seat, err)
 		return
 	}
-	if reply.Allocation.Unknown {
+	if reply.Allocation.Unknown || n.clock.Now().Sub(sent) > creditFor {
+		// The allocator knows too little, or this process was paused and the answer is out of date.
 		x.knownTo = ""
 		return
 	}
