The allocator's file split by job

Change: seat, division and allocation stand in files of their own; nothing else.

Conclusion: tests pass as before.

--- /dev/null
+++ b/alloc/allocate.go
@@ -0,0 +1,85 @@
+package alloc
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// free returns the slots of each target that no seat may occupy.
+func (t *Table) free() map[string]int {
+	free := make(map[string]int, len(t.layout.Targets))
+	for _, target := range t.layout.Targets {
+		free[target.Name] = target.Slots
+	}
+	for _, s := range t.seats {
+		for target, n := range s.committed {
+			free[target] -= n
+		}
+	}
+	return free
+}
+
+// allocate brings a seat's slots towards its due number.
+func (t *Table) allocate(s *seat, now time.Time) Allocation {
+	before := maps.Clone(s.told)
+	known := map[string]bool{}
+	for _, target := range t.layout.Targets {
+		known[target.Name] = true
+	}
+	for target := range s.told {
+		if !known[target] {
+			delete(s.told, target)
+		}
+	}
+	for over := total(s.told) - s.due; over > 0; over-- {
+		s.told[s.idlest()]--
+	}
+	if !t.warming(now) {
+		t.grow(s)
+	}
+	for target, n := range s.told {
+		s.commit(target, n)
+	}
+	// An unchanged allocation keeps its sequence, so that the seat's word on the earlier one still confirms it.
+	if !maps.Equal(before, s.told) || !maps.Equal(s.sent, s.quotas) {
+		s.sequence++
+		s.sent = maps.Clone(s.quotas)
+	}
+	return t.allocation(s)
+}
+
+// grow gives free slots to the seat, each at the target with most of them.
+func (t *Table) grow(s *seat) {
+	free := t.free()
+	for lack := s.due - total(s.told); lack > 0; lack-- {
+		best := ""
+		for _, target := range t.layout.Targets {
+			// A slot that is still committed to this seat can be given back to it at once.
+			if n := free[target.Name] + s.committed[target.Name] - s.told[target.Name]; n > 0 && (best == "" || free[target.Name] > free[best]) {
+				best = target.Name
+			}
+		}
+		if best == "" {
+			return
+		}
+		s.told[best]++
+		if s.told[best] > s.committed[best] {
+			s.commit(best, s.told[best])
+			free[best]--
+		}
+	}
+}
+
+func (t *Table) allocation(s *seat) Allocation {
+	a := Allocation{Sequence: s.sequence, Level: t.level}
+	for _, target := range slices.Sorted(maps.Keys(s.told)) {
+		if s.told[target] > 0 {
+			a.Credits = append(a.Credits, Credit{Target: target, Slots: s.told[target]})
+		}
+	}
+	for _, team := range slices.Sorted(maps.Keys(s.demands)) {
+		a.Quotas = append(a.Quotas, Quota{Team: team, Slots: s.quotas[team], Spare: t.spare[team]})
+	}
+	return a
+}
