Commands share the checking of settings and the wait for a signal

Cause: four commands repeated the reply to -check, two the signals to stop on.

Change: each stands once.

--- a/cmds/applycmd.go
+++ b/cmds/applycmd.go
@@ -34,8 +34,7 @@
 	if err != nil {
 		return err
 	}
-	if c.check {
-		fmt.Fprintln(c.Stdout, "settings are acceptable")
+	if c.checkedOnly() {
 		return nil
 	}
 	tables, err := c.system().Tables()
--- a/cmds/config.go
+++ b/cmds/config.go
@@ -1,12 +1,15 @@
 package cmds
 
 import (
+	"context"
 	"encoding/json"
 	"flag"
 	"fmt"
 	"io"
 	"os"
+	"os/signal"
 	"strings"
+	"syscall"
 	"text/tabwriter"
 
 	"github.com/valyala/fasthttp"
@@ -58,6 +61,19 @@
 	fs.BoolVar(&c.check, "check", false, "only check the settings")
 }
 
+// checkedOnly reports whether the settings, which are acceptable, were only to be checked.
+func (c *Config) checkedOnly() bool {
+	if c.check {
+		fmt.Fprintln(c.Stdout, "settings are acceptable")
+	}
+	return c.check
+}
+
+// untilSignal returns a context that ends when the process is asked to stop.
+func untilSignal() (context.Context, context.CancelFunc) {
+	return signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+}
+
 // operatorFlags adds the flags of commands that speak to an entry process.
 func (c *Config) operatorFlags(fs *flag.FlagSet) {
 	fs.StringVar(&c.entry, "entry", "127.0.0.1:8001", "address of any entry process")
--- a/cmds/entrycmd.go
+++ b/cmds/entrycmd.go
@@ -1,12 +1,8 @@
 package cmds
 
 import (
-	"context"
 	"flag"
-	"fmt"
-	"os/signal"
 	"runtime/debug"
-	"syscall"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -41,11 +37,10 @@
 	if err != nil {
 		return err
 	}
-	if c.check {
-		fmt.Fprintln(c.Stdout, "settings are acceptable")
+	if c.checkedOnly() {
 		return nil
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	ctx, stop := untilSignal()
 	defer stop()
 	debug.SetGCPercent(gcPercent)
 	graph, err := c.entryGraph(settings)
--- a/cmds/loadcmd.go
+++ b/cmds/loadcmd.go
@@ -2,7 +2,6 @@
 
 import (
 	"flag"
-	"fmt"
 	"io"
 	"os"
 
@@ -32,8 +31,7 @@
 	if err != nil {
 		return err
 	}
-	if c.check {
-		fmt.Fprintln(c.Stdout, "settings are acceptable")
+	if c.checkedOnly() {
 		return nil
 	}
 	report, err := load.New(settings, c.terminal()).Do()
--- a/cmds/standincmd.go
+++ b/cmds/standincmd.go
@@ -3,9 +3,6 @@
 import (
 	"context"
 	"flag"
-	"fmt"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"lavenderwing.example/lavenderwing/stand"
@@ -34,11 +31,10 @@
 	if err != nil {
 		return err
 	}
-	if c.check {
-		fmt.Fprintln(c.Stdout, "settings are acceptable")
+	if c.checkedOnly() {
 		return nil
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	ctx, stop := untilSignal()
 	defer stop()
 	s := stand.New(settings)
 	if err := s.Start(); err != nil {
