Processes share the news of failing targets

Cause: with a zone lost in a burst, each of six processes had to lose three requests at each of eleven targets before it ejected them, and each lost request keeps its team's unit for the target's run limit.

Ruled out: a shorter streak, which would eject targets for the callers' own errors; gossip, since every report passes the service's allocator already.

Change: reports carry counts of ejections; the allocator gives a target that two processes ejected within 3 s no slots, then one on probation, and keeps half of a service's targets in any case.

--- a/admit/demand.go
+++ b/admit/demand.go
@@ -50,7 +50,7 @@
 	for _, i := range t.services[s].targets {
 		target := &t.targets[i]
 		if target.credit > 0 || target.running > 0 {
-			uses = append(uses, alloc.Use{Target: target.name, Credit: target.credit, Running: target.running})
+			uses = append(uses, alloc.Use{Target: target.name, Credit: target.credit, Running: target.running, Ejections: target.ejections})
 		}
 	}
 	return uses
--- a/admit/health.go
+++ b/admit/health.go
@@ -28,6 +28,7 @@
 	}
 	delay := min(ejectBase<<min(target.ejects, 10), ejectMost)
 	target.ejects++
+	target.ejections++
 	target.ejected = true
 	target.probing = false
 	target.until = now.Add(delay)
--- a/admit/target.go
+++ b/admit/target.go
@@ -28,9 +28,11 @@
 	free int
 
 	failures int
-	ejects   int
-	ejected  bool
-	until    time.Time
+	// ejects sets the length of the next ejection, and ejections counts all of them.
+	ejects    int
+	ejections int
+	ejected   bool
+	until     time.Time
 	// busy targets refused a request, and get no new one until a time.
 	busy      bool
 	busyUntil time.Time
--- a/alloc/allocate.go
+++ b/alloc/allocate.go
@@ -8,10 +8,7 @@
 
 // free returns the slots of each target that no seat may occupy.
 func (t *Table) free() map[string]int {
-	free := make(map[string]int, len(t.layout.Targets))
-	for _, target := range t.layout.Targets {
-		free[target.Name] = target.Slots
-	}
+	free := maps.Clone(t.slots)
 	for _, s := range t.seats {
 		for target, n := range s.committed {
 			free[target] -= n
@@ -23,15 +20,10 @@
 // allocate brings a seat's slots towards its due number.
 func (t *Table) allocate(s *seat, now time.Time) Allocation {
 	before := maps.Clone(s.told)
-	known := map[string]bool{}
-	for _, target := range t.layout.Targets {
-		known[target.Name] = true
-	}
-	for target := range s.told {
-		if !known[target] {
-			delete(s.told, target)
-		}
+	for target, n := range s.told {
+		s.told[target] = min(n, t.slots[target])
 	}
+	maps.DeleteFunc(s.told, func(_ string, n int) bool { return n == 0 })
 	for over := total(s.told) - s.due; over > 0; over-- {
 		s.told[s.idlest()]--
 	}
--- a/alloc/divide.go
+++ b/alloc/divide.go
@@ -10,11 +10,9 @@
 
 // divide sets each seat's quotas and due slots: max-min fair over teams by weight, then over seats by demand.
 func (t *Table) divide(now time.Time) {
+	t.isolate(now)
 	names := slices.Sorted(maps.Keys(t.seats))
-	capacity := 0
-	for _, target := range t.layout.Targets {
-		capacity += target.Slots
-	}
+	capacity := total(t.slots)
 	teams := t.teams()
 	claims := make([]share.Claim, len(teams))
 	for i, team := range teams {
--- a/alloc/report.go
+++ b/alloc/report.go
@@ -27,6 +27,8 @@
 	Target  string
 	Credit  int
 	Running int
+	// Ejections counts how often the seat took the target out of use because it failed.
+	Ejections int
 }
 
 // Allocation answers a report with the seat's part of the service.
--- a/alloc/table.go
+++ b/alloc/table.go
@@ -26,12 +26,15 @@
 	level   float64
 	spare   map[string]int
 	turn    int
+	// wards and slots hold what is known of failing targets, and what each target may run now.
+	wards map[string]*ward
+	slots map[string]int
 	// dirty is set when the division no longer matches what is known.
 	dirty bool
 }
 
 // New returns an allocator that has heard nothing.
-func New() *Table { return &Table{seats: map[string]*seat{}} }
+func New() *Table { return &Table{seats: map[string]*seat{}, wards: map[string]*ward{}} }
 
 // Configure replaces the layout.
 func (t *Table) Configure(l Layout) {
@@ -119,6 +122,7 @@
 	}
 	s.number = r.Number
 	t.dirty = true
+	t.witness(r, now)
 	s.demands = map[string]int{}
 	for _, d := range r.Demands {
 		s.demands[d.Team] += d.Want
--- a/alloc/table_test.go
+++ b/alloc/table_test.go
@@ -18,6 +18,8 @@
 	running map[string]int
 	want    int
 	late    []Allocation
+	// ejections counts, by target, how often the seat found it failing.
+	ejections map[string]int
 }
 
 func (p *process) report() Report {
@@ -25,7 +27,7 @@
 	r := Report{Service: "s", Seat: p.name, Incarnation: "1", Number: p.number, Applied: p.applied, Demands: []Demand{{Team: p.name, Want: p.want}}}
 	for target := range 4 {
 		name := fmt.Sprintf("h%d", target)
-		r.Uses = append(r.Uses, Use{Target: name, Credit: p.credits[name], Running: p.running[name]})
+		r.Uses = append(r.Uses, Use{Target: name, Credit: p.credits[name], Running: p.running[name], Ejections: p.ejections[name]})
 	}
 	return r
 }
