Only requests that may have run get more than their queue's wait

Cause, found by reading: a retry of a request that provably was not sent also waited past its queue's longest wait, so that urgent work could start late.

Change: the longer wait and the precedence are for requests that may have run.

--- a/entry/serve.go
+++ b/entry/serve.go
@@ -88,7 +88,7 @@
 	avoid := admit.NoTarget
 	sent := false
 	for {
-		w := n.waiterOf(r, avoid)
+		w := waiterOf(r, avoid, sent)
 		if refused := n.admit(w, r, sent); refused != nil {
 			return refused
 		}
@@ -111,17 +111,16 @@
 	}
 }
 
-func (n *Node) waiterOf(r *request, avoid admit.Target) *admit.Waiter {
+// waiterOf returns the waiter of the next try; a request that may have run can no longer be refused as not run, so it goes first and may use all the caller's time.
+func waiterOf(r *request, avoid admit.Target, sent bool) *admit.Waiter {
 	deadline := r.arrived.Add(r.queue.MaxWait())
-	retry := avoid != admit.NoTarget
-	if retry || r.deadline.Before(deadline) {
-		// A request that may have run can no longer be refused as not run, so its retry may use all the caller's time.
+	if sent || r.deadline.Before(deadline) {
 		deadline = r.deadline
 	}
 	return &admit.Waiter{
 		Service:  r.queue.service,
 		Team:     r.team,
-		Urgent:   r.queue.Urgent || retry,
+		Urgent:   r.queue.Urgent || sent,
 		Depth:    r.queue.MaxDepth,
 		Deadline: deadline,
 		Avoid:    avoid,
