Names of the field in place of our own

Cause: a reading as a newcomer would: ward, witness, strike, told, hear, beat, home, book and spoil needed explaining.

Change: outlier, ejection, granted, observe, heartbeat, allocator, tracker, corrupt; names only.

--- a/alloc/allocate.go
+++ b/alloc/allocate.go
@@ -19,22 +19,22 @@
 
 // allocate brings a seat's slots towards its due number.
 func (t *Table) allocate(s *seat, now time.Time) Allocation {
-	before := maps.Clone(s.told)
-	for target, n := range s.told {
-		s.told[target] = min(n, t.slots[target])
+	before := maps.Clone(s.granted)
+	for target, n := range s.granted {
+		s.granted[target] = min(n, t.slots[target])
 	}
-	maps.DeleteFunc(s.told, func(_ string, n int) bool { return n == 0 })
-	for over := total(s.told) - s.due; over > 0; over-- {
-		s.told[s.idlest()]--
+	maps.DeleteFunc(s.granted, func(_ string, n int) bool { return n == 0 })
+	for over := total(s.granted) - s.due; over > 0; over-- {
+		s.granted[s.idlest()]--
 	}
 	if !t.warming(now) {
 		t.grow(s)
 	}
-	for target, n := range s.told {
+	for target, n := range s.granted {
 		s.commit(target, n)
 	}
 	// An unchanged allocation keeps its sequence, so that the seat's word on the earlier one still confirms it.
-	if !maps.Equal(before, s.told) || !maps.Equal(s.sent, s.quotas) {
+	if !maps.Equal(before, s.granted) || !maps.Equal(s.sent, s.quotas) {
 		s.sequence++
 		s.sent = maps.Clone(s.quotas)
 	}
@@ -44,20 +44,20 @@
 // grow gives free slots to the seat, each at the target with most of them.
 func (t *Table) grow(s *seat) {
 	free := t.free()
-	for lack := s.due - total(s.told); lack > 0; lack-- {
+	for lack := s.due - total(s.granted); lack > 0; lack-- {
 		best := ""
 		for _, target := range t.layout.Targets {
 			// A slot that is still committed to this seat can be given back to it at once.
-			if n := free[target.Name] + s.committed[target.Name] - s.told[target.Name]; n > 0 && (best == "" || free[target.Name] > free[best]) {
+			if n := free[target.Name] + s.committed[target.Name] - s.granted[target.Name]; n > 0 && (best == "" || free[target.Name] > free[best]) {
 				best = target.Name
 			}
 		}
 		if best == "" {
 			return
 		}
-		s.told[best]++
-		if s.told[best] > s.committed[best] {
-			s.commit(best, s.told[best])
+		s.granted[best]++
+		if s.granted[best] > s.committed[best] {
+			s.commit(best, s.granted[best])
 			free[best]--
 		}
 	}
@@ -65,9 +65,9 @@
 
 func (t *Table) allocation(s *seat) Allocation {
 	a := Allocation{Sequence: s.sequence, Level: t.level}
-	for _, target := range slices.Sorted(maps.Keys(s.told)) {
-		if s.told[target] > 0 {
-			a.Credits = append(a.Credits, Credit{Target: target, Slots: s.told[target]})
+	for _, target := range slices.Sorted(maps.Keys(s.granted)) {
+		if s.granted[target] > 0 {
+			a.Credits = append(a.Credits, Credit{Target: target, Slots: s.granted[target]})
 		}
 	}
 	for _, team := range slices.Sorted(maps.Keys(s.demands)) {
--- a/alloc/divide.go
+++ b/alloc/divide.go
@@ -10,7 +10,7 @@
 
 // divide sets each seat's quotas and due slots: max-min fair over teams by weight, then over seats by demand.
 func (t *Table) divide(now time.Time) {
-	t.isolate(now)
+	t.ejectOutliers(now)
 	names := slices.Sorted(maps.Keys(t.seats))
 	capacity := total(t.slots)
 	teams := t.teams()
--- a/alloc/ward_test.go
+++ b/alloc/outlier_test.go
@@ -7,8 +7,8 @@
 	"github.com/matryer/is"
 )
 
-// failing lets three seats report until each has slots, and then two of them that targets failed.
-func failing(targets ...string) (*Table, []*process, time.Time) {
+// failingTargets lets three seats report until each has slots, and then two of them that targets failed.
+func failingTargets(targets ...string) (*Table, []*process, time.Time) {
 	table := New()
 	table.Configure(testLayout())
 	now := time.Unix(0, 0)
@@ -43,33 +43,33 @@
 	return sum
 }
 
-func TestTwoSeatsIsolateATargetForAll(t *testing.T) {
+func TestTwoSeatsEjectATargetForAll(t *testing.T) {
 	is := is.New(t)
-	table, procs, now := failing("h0")
+	table, procs, now := failingTargets("h0")
 	is.Equal(creditsAt(procs, "h0"), 0)
 	is.Equal(creditsAt(procs, "h1"), 8)
-	now = reportAll(table, procs, now, int(isolateBase/(20*time.Millisecond)))
+	now = reportAll(table, procs, now, int(ejectBase/(20*time.Millisecond)))
 	is.Equal(creditsAt(procs, "h0"), 1) // it has to prove itself first
 	reportAll(table, procs, now, int((probation+time.Second)/(20*time.Millisecond)))
 	is.Equal(creditsAt(procs, "h0"), 8)
 }
 
-func TestOneWordOnProbationIsolatesForLonger(t *testing.T) {
+func TestOneReportOnProbationEjectsForLonger(t *testing.T) {
 	is := is.New(t)
-	table, procs, now := failing("h0")
-	now = reportAll(table, procs, now, int(isolateBase/(20*time.Millisecond)))
+	table, procs, now := failingTargets("h0")
+	now = reportAll(table, procs, now, int(ejectBase/(20*time.Millisecond)))
 	procs[2].ejections["h0"]++
 	now = reportAll(table, procs, now, 15)
 	is.Equal(creditsAt(procs, "h0"), 0)
-	now = reportAll(table, procs, now, int(isolateBase/(20*time.Millisecond)))
+	now = reportAll(table, procs, now, int(ejectBase/(20*time.Millisecond)))
 	is.Equal(creditsAt(procs, "h0"), 0)
-	reportAll(table, procs, now, int((isolateBase+time.Second)/(20*time.Millisecond)))
+	reportAll(table, procs, now, int((ejectBase+time.Second)/(20*time.Millisecond)))
 	is.Equal(creditsAt(procs, "h0"), 1)
 }
 
-func TestOneSeatAloneIsolatesNothing(t *testing.T) {
+func TestOneSeatAloneEjectsNothing(t *testing.T) {
 	is := is.New(t)
-	table, procs, now := failing()
+	table, procs, now := failingTargets()
 	procs[0].ejections["h0"] = 9
 	reportAll(table, procs, now, 20)
 	is.Equal(creditsAt(procs, "h0"), 8)
@@ -77,6 +77,6 @@
 
 func TestHalfOfTheTargetsAreKept(t *testing.T) {
 	is := is.New(t)
-	_, procs, _ := failing("h0", "h1", "h2", "h3")
+	_, procs, _ := failingTargets("h0", "h1", "h2", "h3")
 	is.Equal(creditsAt(procs, "h0")+creditsAt(procs, "h1")+creditsAt(procs, "h2")+creditsAt(procs, "h3"), 16)
 }
--- a/alloc/seat.go
+++ b/alloc/seat.go
@@ -15,8 +15,8 @@
 	number      uint64
 	demands     map[string]int
 	running     map[string]int
-	// told is the newest allocation by target.
-	told map[string]int
+	// granted is the newest allocation by target.
+	granted map[string]int
 	// committed is the most slots that the seat may occupy at each target until it confirms less.
 	committed map[string]int
 	quotas    map[string]int
@@ -29,9 +29,9 @@
 // adopt takes over the allocation that the seat says it has.
 func (s *seat) adopt(r Report) {
 	s.sequence = r.Applied
-	s.told = map[string]int{}
+	s.granted = map[string]int{}
 	for _, u := range r.Uses {
-		s.told[u.Target] = u.Credit
+		s.granted[u.Target] = u.Credit
 	}
 }
 
@@ -46,8 +46,8 @@
 // idlest returns the target where the seat has most slots that it does not use.
 func (s *seat) idlest() string {
 	best := ""
-	for _, target := range slices.Sorted(maps.Keys(s.told)) {
-		if s.told[target] > 0 && (best == "" || s.told[target]-s.running[target] > s.told[best]-s.running[best]) {
+	for _, target := range slices.Sorted(maps.Keys(s.granted)) {
+		if s.granted[target] > 0 && (best == "" || s.granted[target]-s.running[target] > s.granted[best]-s.running[best]) {
 			best = target
 		}
 	}
--- a/alloc/table.go
+++ b/alloc/table.go
@@ -26,15 +26,15 @@
 	level   float64
 	spare   map[string]int
 	turn    int
-	// wards and slots hold what is known of failing targets, and what each target may run now.
-	wards map[string]*ward
-	slots map[string]int
+	// outliers holds what is known of failing targets, and slots what each target may run now.
+	outliers map[string]*outlier
+	slots    map[string]int
 	// dirty is set when the division no longer matches what is known.
 	dirty bool
 }
 
 // New returns an allocator that has heard nothing.
-func New() *Table { return &Table{seats: map[string]*seat{}, wards: map[string]*ward{}} }
+func New() *Table { return &Table{seats: map[string]*seat{}, outliers: map[string]*outlier{}} }
 
 // Configure replaces the layout.
 func (t *Table) Configure(l Layout) {
@@ -58,7 +58,7 @@
 		s.heard = now
 		return t.answer(s, r.Applied, now)
 	}
-	return t.answer(t.hear(r, now), r.Applied, now)
+	return t.answer(t.observe(r, now), r.Applied, now)
 }
 
 func (t *Table) answer(s *seat, applied uint64, now time.Time) Allocation {
@@ -84,8 +84,8 @@
 	return a, s.sequence != before
 }
 
-// Stirred returns the other seats whose slots should change, sorted.
-func (t *Table) Stirred(except string, now time.Time) []string {
+// Pending returns the other seats whose slots should change, sorted.
+func (t *Table) Pending(except string, now time.Time) []string {
 	var names []string
 	free := t.free()
 	spare := 0
@@ -93,8 +93,8 @@
 		spare += max(n, 0)
 	}
 	for name, s := range t.seats {
-		told := total(s.told)
-		if name != except && (told > s.due || told < s.due && spare > 0 && !t.warming(now)) {
+		granted := total(s.granted)
+		if name != except && (granted > s.due || granted < s.due && spare > 0 && !t.warming(now)) {
 			names = append(names, name)
 		}
 	}
@@ -104,8 +104,8 @@
 
 func (t *Table) warming(now time.Time) bool { return now.Sub(t.started) < warmup }
 
-// hear replaces what is known of a seat.
-func (t *Table) hear(r Report, now time.Time) *seat {
+// observe replaces what is known of a seat.
+func (t *Table) observe(r Report, now time.Time) *seat {
 	s := t.seats[r.Seat]
 	if s == nil || s.incarnation != r.Incarnation {
 		s = &seat{name: r.Seat, incarnation: r.Incarnation, quotas: map[string]int{}}
@@ -122,7 +122,7 @@
 	}
 	s.number = r.Number
 	t.dirty = true
-	t.witness(r, now)
+	t.observeEjections(r, now)
 	s.demands = map[string]int{}
 	for _, d := range r.Demands {
 		s.demands[d.Team] += d.Want
@@ -132,7 +132,7 @@
 		s.running[u.Target] = u.Running
 	}
 	if r.Applied >= s.sequence {
-		s.committed = maps.Clone(s.told)
+		s.committed = maps.Clone(s.granted)
 	}
 	for target, n := range s.running {
 		s.commit(target, n)
--- a/cmds/democmd.go
+++ b/cmds/democmd.go
@@ -68,7 +68,7 @@
 		return err
 	}
 	withdrawn := make(chan string, 1)
-	go func() { withdrawn <- d.disturb() }()
+	go func() { withdrawn <- d.injectFaults() }()
 	report, err := load.New(d.load, nil).Do()
 	if err != nil {
 		return err
--- a/cmds/demofault.go
+++ b/cmds/demofaults.go
@@ -20,8 +20,8 @@
 	return change.NewReal(address, "operator", demoSecret)
 }
 
-// disturb kills an entry node and withdraws a key inside the burst, and says whether the key stopped working.
-func (d *demo) disturb() string {
+// injectFaults kills an entry node and withdraws a key inside the burst, and says whether the key stopped working.
+func (d *demo) injectFaults() string {
 	time.Sleep(demoKillAt)
 	d.nodes[demoEntries-1].Kill()
 	d.kills[demoEntries-1]()
--- a/entry/fresh.go
+++ b/entry/fresh.go
@@ -10,8 +10,8 @@
 // unknownAge stands for the age of evidence that was never there.
 const unknownAge = 24 * time.Hour
 
-// beatPeriod is how often one other process, each in turn, is asked for a sign of life.
-const beatPeriod = time.Second
+// heartbeatPeriod is how often one other process, each in turn, is asked for a heartbeat.
+const heartbeatPeriod = time.Second
 
 // relayMost is the most entries of the log that one call relays.
 const relayMost = 256
@@ -30,8 +30,8 @@
 	return n.freshAge(now) <= n.settings.FreshFor+n.settings.IsolatedFor
 }
 
-// heard takes a peer's word on the log's end; the word counts from before the call was sent, so that no delay or pause makes it look newer than it is.
-func (n *Node) heard(seat string, sent time.Time, reply peer.Exchanged) {
+// observeFresh takes a peer's report on the log's end; the report counts from before the call was sent, so that no delay or pause makes it look newer than it is.
+func (n *Node) observeFresh(seat string, sent time.Time, reply peer.Exchanged) {
 	if seat == n.settings.Seat {
 		return
 	}
@@ -52,7 +52,7 @@
 
 // catchUp takes from a peer what it has read of the state stream and this process has not; while the log itself answers, it is left to the tail.
 func (n *Node) catchUp(seat string, offset int64) {
-	if n.clock.Now().Sub(n.stateTail.AtEnd()) < beatPeriod+answerWait {
+	if n.clock.Now().Sub(n.stateTail.AtEnd()) < heartbeatPeriod+answerWait {
 		return
 	}
 	for n.state.Tables().Offset() < offset {
@@ -74,24 +74,24 @@
 	return peer.Entries{Entries: n.state.Since(args.From, relayMost)}
 }
 
-// beat asks the next live process for a sign of life.
-func (n *Node) beat(now time.Time) {
-	if now.Sub(n.beaten) < beatPeriod || len(n.seats) < 2 {
+// heartbeat asks the next live process for a heartbeat.
+func (n *Node) heartbeat(now time.Time) {
+	if now.Sub(n.heartbeatAt) < heartbeatPeriod || len(n.seats) < 2 {
 		return
 	}
-	n.beaten = now
-	n.beats++
-	seat := n.seats[n.beats%len(n.seats)]
+	n.heartbeatAt = now
+	n.heartbeats++
+	seat := n.seats[n.heartbeats%len(n.seats)]
 	if seat == n.settings.Seat {
-		n.beats++
-		seat = n.seats[n.beats%len(n.seats)]
+		n.heartbeats++
+		seat = n.seats[n.heartbeats%len(n.seats)]
 	}
 	if n.suspects[seat].IsZero() {
 		go n.probe(seat, now)
 	}
 }
 
-// probeSuspects asks peers that did not answer for a sign of life, without letting any decision wait for it.
+// probeSuspects asks peers that did not answer for a heartbeat, without letting any decision wait for it.
 func (n *Node) probeSuspects(now time.Time) {
 	for seat, since := range n.suspects {
 		if now.Sub(since) < probePeriod {
@@ -105,7 +105,7 @@
 func (n *Node) probe(seat string, sent time.Time) {
 	reply, err := n.peers.Exchange(seat, peer.Exchange{}, answerWait)
 	if err == nil {
-		n.heard(seat, sent, reply)
+		n.observeFresh(seat, sent, reply)
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/entry/node.go
+++ b/entry/node.go
@@ -72,14 +72,14 @@
 	suspects   map[string]time.Time
 	exchangers map[string]*exchanger
 	// leaving holds the hosts that the platform says it takes away.
-	leaving map[string]bool
-	beaten  time.Time
-	beats   int
+	leaving     map[string]bool
+	heartbeatAt time.Time
+	heartbeats  int
 
-	home      *home
-	peers     *peer.Client
-	peerBytes atomic.Int64
-	toldFresh atomic.Int64
+	allocators *allocators
+	peers      *peer.Client
+	peerBytes  atomic.Int64
+	toldFresh  atomic.Int64
 
 	poolMu sync.Mutex
 	pools  map[string]*conns.Pool
@@ -140,7 +140,7 @@
 	place := seat.Place{Seat: settings.Seat, Zone: settings.Zone, Address: settings.Listen}
 	n.keeper = seat.New(place, settings.Lease, id, newIncarnation)
 	n.counters = newCounters(n.metrics)
-	n.home = newHome(n.clock)
+	n.allocators = newAllocators(n.clock)
 	n.peers = peer.NewClient(settings.Source, settings.PeerSecret, &n.peerBytes)
 	n.follow()
 	n.current.Store(viewOf(fold.New(), n.rows))
@@ -200,7 +200,7 @@
 	}
 	n.limited = n.limitedOf(t)
 	n.exchangersOf(t)
-	n.home.configure(layoutsOf(t, hosts))
+	n.allocators.configure(layoutsOf(t, hosts))
 	n.current.Store(viewOf(t, n.rows))
 }
 
@@ -275,7 +275,7 @@
 	n.keepLease(now)
 	n.keepLimits(now)
 	n.probeSuspects(now)
-	n.beat(now)
+	n.heartbeat(now)
 	n.exchangeSlots(now)
 	n.rows.Tick(now)
 }
--- a/entry/slots.go
+++ b/entry/slots.go
@@ -22,7 +22,7 @@
 	answerWait = 500 * time.Millisecond
 	// creditFor is how long slots may be used after the exchange that confirmed them; it is shorter than an allocator's patience.
 	creditFor = alloc.Silence - 500*time.Millisecond
-	// probePeriod is how often a peer that did not answer is asked for a sign of life.
+	// probePeriod is how often a peer that did not answer is asked for a heartbeat.
 	probePeriod = 500 * time.Millisecond
 	// restAfter is how long a process without requests for a service goes on taking part in its division.
 	restAfter = 10 * time.Second
@@ -33,10 +33,10 @@
 
 // exchanger is this process's side of the division of one service's slots.
 type exchanger struct {
-	name    string
-	service admit.Service
-	home    string
-	applied uint64
+	name      string
+	service   admit.Service
+	allocator string
+	applied   uint64
 	// calls is the number of exchanges under way.
 	calls int
 	sent  time.Time
@@ -74,8 +74,8 @@
 	return layouts
 }
 
-// homeOf returns the live seat that divides a service's slots: the highest by hash among those that are not suspected.
-func homeOf(service string, seats []string, suspected func(seat string) bool) string {
+// allocatorOf returns the live seat that divides a service's slots: the highest by hash among those that are not suspected.
+func allocatorOf(service string, seats []string, suspected func(seat string) bool) string {
 	best := ""
 	var most uint64
 	for _, seat := range seats {
@@ -126,13 +126,13 @@
 }
 
 func (n *Node) startExchange(x *exchanger, now time.Time) {
-	seat := homeOf(x.name, n.seats, func(seat string) bool { return !n.suspects[seat].IsZero() })
+	seat := allocatorOf(x.name, n.seats, func(seat string) bool { return !n.suspects[seat].IsZero() })
 	if seat == "" {
 		return
 	}
-	if seat != x.home {
-		n.line.Add(event.KindAllocate, x.name, x.home, "slots are divided by "+seat)
-		x.home = seat
+	if seat != x.allocator {
+		n.line.Add(event.KindAllocate, x.name, x.allocator, "slots are divided by "+seat)
+		x.allocator = seat
 	}
 	report := n.report(x, seat)
 	x.calls++
@@ -163,7 +163,7 @@
 		reply, err = n.peers.Exchange(seat, args, holdFor+answerWait)
 	}
 	if err == nil {
-		n.heard(seat, sent, reply)
+		n.observeFresh(seat, sent, reply)
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -221,7 +221,7 @@
 func (n *Node) Exchange(args peer.Exchange) peer.Exchanged {
 	var a alloc.Allocation
 	if args.Report.Service != "" {
-		a = n.home.exchange(args.Report, time.Duration(args.HoldMs)*time.Millisecond)
+		a = n.allocators.exchange(args.Report, time.Duration(args.HoldMs)*time.Millisecond)
 	}
 	// The age is taken before the offset, so that the offset is never older than the evidence.
 	age := n.freshAge(n.clock.Now())
--- a/stand/executor.go
+++ b/stand/executor.go
@@ -41,7 +41,7 @@
 	pool        string
 	slots       chan struct{}
 	connections int
-	book        *book
+	tracker     *tracker
 	faults      func() TargetFault
 	server      *fasthttp.Server
 
@@ -49,8 +49,8 @@
 	earlier string
 }
 
-func newExecutor(name, pool string, slots, connections int, b *book, faults func() TargetFault) *executor {
-	e := &executor{name: name, pool: pool, slots: make(chan struct{}, slots), connections: connections, book: b, faults: faults}
+func newExecutor(name, pool string, slots, connections int, b *tracker, faults func() TargetFault) *executor {
+	e := &executor{name: name, pool: pool, slots: make(chan struct{}, slots), connections: connections, tracker: b, faults: faults}
 	e.server = &fasthttp.Server{
 		Handler:               e.handle,
 		Concurrency:           connections,
@@ -77,14 +77,14 @@
 	attempt := string(ctx.Request.Header.Peek(conns.HeaderAttempt))
 	ctx.Response.Header.Set(conns.HeaderAttempt, attempt)
 	if fault.Draining || !e.take() {
-		e.book.refuse()
+		e.tracker.refuse()
 		ctx.Response.Header.Set(conns.HeaderNotRun, "true")
 		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
 		return
 	}
 	defer func() { <-e.slots }()
 	e.work(ctx, fault)
-	e.spoil(ctx, fault, attempt)
+	e.corrupt(ctx, fault, attempt)
 }
 
 func (e *executor) take() bool {
@@ -104,8 +104,8 @@
 		pool:    e.pool,
 		once:    len(header.Peek(conns.HeaderOnce)) > 0,
 	}
-	e.book.start(r)
-	defer e.book.finish(r)
+	e.tracker.start(r)
+	defer e.tracker.finish(r)
 	if fault.FailAll {
 		ctx.SetStatusCode(fasthttp.StatusInternalServerError)
 		return
@@ -125,8 +125,8 @@
 	ctx.SetBody(body)
 }
 
-// spoil damages the answer as the fault says.
-func (e *executor) spoil(ctx *fasthttp.RequestCtx, fault TargetFault, attempt string) {
+// corrupt damages the answer as the fault says.
+func (e *executor) corrupt(ctx *fasthttp.RequestCtx, fault TargetFault, attempt string) {
 	e.mu.Lock()
 	earlier := e.earlier
 	e.earlier = attempt
--- a/stand/stand.go
+++ b/stand/stand.go
@@ -28,7 +28,7 @@
 // Stand is a running stand-in.
 type Stand struct {
 	settings Settings
-	book     *book
+	tracker  *tracker
 
 	mu      sync.Mutex
 	faults  Faults
@@ -41,7 +41,7 @@
 
 // New returns a stand-in that is not listening yet.
 func New(settings Settings) *Stand {
-	return &Stand{settings: settings, book: newBook(), streams: map[string]*stream{}}
+	return &Stand{settings: settings, tracker: newTracker(), streams: map[string]*stream{}}
 }
 
 // Start listens on all addresses of the settings.
@@ -51,7 +51,7 @@
 		return err
 	}
 	for _, h := range s.settings.Hosts {
-		e := newExecutor(h.Name, h.Pool, h.Slots, h.Connections, s.book, func() TargetFault { return s.Faults().Targets[h.Name] })
+		e := newExecutor(h.Name, h.Pool, h.Slots, h.Connections, s.tracker, func() TargetFault { return s.Faults().Targets[h.Name] })
 		if err := s.listen(h.Address, e.server, e.serve); err != nil {
 			return err
 		}
@@ -100,10 +100,10 @@
 }
 
 // Totals returns what the executors saw.
-func (s *Stand) Totals() Totals { return s.book.totals() }
+func (s *Stand) Totals() Totals { return s.tracker.totals() }
 
 // Ran returns how often each of the requests ran.
-func (s *Stand) Ran(requests []string) map[string]int { return s.book.ran(requests) }
+func (s *Stand) Ran(requests []string) map[string]int { return s.tracker.ran(requests) }
 
 func (s *Stand) router() *router.Router {
 	r := router.New()
