Appends of the whole fleet stay within a budget

Cause: each process committed each stream up to 50 times a second, 800 appends/s for 8 processes, more than the several hundred that the platform takes; measured under full load 303/s.

Change: appendBudget (300/s) is divided over live seats and streams.

--- a/entry/node.go
+++ b/entry/node.go
@@ -185,12 +185,24 @@
 		n.line.Add(event.KindConfig, "version", "log", strconv.FormatInt(n.version, 10)+" in force")
 	}
 	n.seats = seatsOf(t)
+	n.paceAppends()
 	maps.DeleteFunc(n.suspects, func(seat string, _ time.Time) bool { return !slices.Contains(n.seats, seat) })
 	if n.settings.Division == DivideEvenly {
 		n.divideEvenly(t)
 	}
 }
 
+// streams is the number of streams that each process appends to.
+const streams = 2
+
+// paceAppends divides the fleet's budget of appends over the live processes and their streams.
+func (n *Node) paceAppends() {
+	pace := time.Second * time.Duration(streams*len(n.seats)) / time.Duration(n.settings.AppendBudget)
+	for _, w := range []*follow.Writer{n.writer, n.claimWriter} {
+		w.SetInterval(max(n.settings.Commit, pace))
+	}
+}
+
 // layout compiles the tables for admission and for the allocators.
 func (n *Node) layout(t fold.Tables) {
 	hosts := n.usableHosts(t)
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -31,6 +31,8 @@
 	Tick time.Duration
 	// Commit is the shortest time between two appends to one stream.
 	Commit time.Duration
+	// AppendBudget is the most appends a second by all entry processes together.
+	AppendBudget int
 	// ClaimWindow is how long a non-idempotent request's identifier is remembered.
 	ClaimWindow time.Duration
 	// FreshFor is how old the newest evidence of the log's end may be.
@@ -71,6 +73,7 @@
 	defaultLease       = 6 * time.Second
 	defaultTick        = 20 * time.Millisecond
 	defaultCommit      = 20 * time.Millisecond
+	defaultAppends     = 300
 	defaultClaimWindow = 15 * time.Minute
 	defaultFreshFor    = 5 * time.Second
 	defaultIsolatedFor = time.Hour
@@ -94,6 +97,7 @@
 		Lease:        defaultLease,
 		Tick:         defaultTick,
 		Commit:       defaultCommit,
+		AppendBudget: defaultAppends,
 		ClaimWindow:  defaultClaimWindow,
 		FreshFor:     defaultFreshFor,
 		IsolatedFor:  defaultIsolatedFor,
@@ -128,6 +132,7 @@
 	s.Lease = main.Duration("lease", s.Lease, time.Second, time.Hour)
 	s.Tick = main.Duration("tick", s.Tick, shortest, time.Second)
 	s.Commit = main.Duration("commit", s.Commit, shortest, time.Second)
+	s.AppendBudget = main.Int("appendBudget", s.AppendBudget, 1, most)
 	s.ClaimWindow = main.Duration("claimWindow", s.ClaimWindow, time.Minute, longest)
 	s.FreshFor = main.Duration("freshFor", s.FreshFor, shortest, longest)
 	s.IsolatedFor = main.Duration("isolatedFor", s.IsolatedFor, 0, longest)
--- a/follow/writer.go
+++ b/follow/writer.go
@@ -26,12 +26,12 @@
 	id     string
 	clock  clockwork.Clock
 
-	interval   time.Duration
 	retry      time.Duration
 	maxPending int
 	maxBatch   int
 
 	mu       sync.Mutex
+	interval time.Duration
 	pending  []*Ticket
 	inflight map[uint64][]*Ticket
 	sequence uint64
@@ -103,6 +103,13 @@
 	}
 }
 
+// SetInterval changes the shortest time between two appends.
+func (w *Writer) SetInterval(d time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.interval = d
+}
+
 // Appends returns how many appends were tried.
 func (w *Writer) Appends() int64 {
 	w.mu.Lock()
@@ -138,7 +145,7 @@
 			continue
 		}
 		w.append(ctx, b)
-		w.sleep(ctx, w.interval)
+		w.rest(ctx)
 	}
 }
 
@@ -194,9 +201,13 @@
 	}
 }
 
-func (w *Writer) sleep(ctx context.Context, d time.Duration) {
+// rest waits for the shortest time between two appends.
+func (w *Writer) rest(ctx context.Context) {
+	w.mu.Lock()
+	interval := w.interval
+	w.mu.Unlock()
 	select {
-	case <-w.clock.After(d):
+	case <-w.clock.After(interval):
 	case <-ctx.Done():
 	}
 }
