Key withdrawal checked as a history of concurrent requests

Change: requests under one key run at two processes while it is withdrawn; porcupine checks that at each process it works until the withdrawal takes effect and never after.

--- a/entry/path_test.go
+++ b/entry/path_test.go
@@ -153,6 +153,7 @@
 		"error answer":      testErrorAnswerOfOnceRequest,
 		"bad input":         testBadInput,
 		"operators' change": testOperators,
+		"key history":       testKeyHistory,
 	} {
 		t.Run(name, func(t *testing.T) {
 			b.t = t
