The load's balancer drops connections of processes that went away

Cause: a graceful stop with a restart showed 57 once-only callers without reply, which would break the promise that a planned stop cuts no request. Traced: without the restart there are none; the load sent into connections that the stopped process had closed, once it was healthy again.

Ruled out: the stop itself (it ended 600 ms after the signal with nothing left).

Change: idle connections are closed when the set of healthy processes changes, as a balancer does.

--- a/load/balance.go
+++ b/load/balance.go
@@ -1,6 +1,7 @@
 package load
 
 import (
+	"slices"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -49,8 +50,13 @@
 		}
 	}
 	r.mu.Lock()
-	defer r.mu.Unlock()
+	changed := !slices.Equal(healthy, r.healthy)
 	r.healthy = healthy
+	r.mu.Unlock()
+	if changed {
+		// A connection from before a restart is dead, and a request sent into it would have no reply.
+		r.client.CloseIdleConnections()
+	}
 }
 
 // entry returns the entry process that the balancer chooses, and any when none is healthy.
