A graceful stop of an entry process has a test

Change: a process is stopped while 24 once-only requests run and wait there, longer than the closing of the listener would wait for them; all are answered, the process leaves the membership and its units are free.

--- a/entry/path_test.go
+++ b/entry/path_test.go
@@ -29,6 +29,8 @@
 	t     *testing.T
 	stand *stand.Stand
 	nodes []*Node
+	// stops ends each node gracefully.
+	stops []context.CancelFunc
 }
 
 func freeAddress() string { return stand.Loopback(1)[0] }
@@ -45,7 +47,6 @@
 	if err := b.stand.Start(); err != nil {
 		t.Fatal(err)
 	}
-	ctx, cancel := context.WithCancel(context.Background())
 	hash := sha256.Sum256([]byte(testToken))
 	done := make(chan error, 2)
 	for i := range 2 {
@@ -55,11 +56,15 @@
 		s.Commit, s.MaxBody, s.Operators = shortest, 1<<16, map[string][]byte{"op": hash[:]}
 		platform := plat.New(settings.Listen, plat.WithSource(s.Source))
 		n := New(s, platform, platform)
+		ctx, stop := context.WithCancel(context.Background())
 		b.nodes = append(b.nodes, n)
+		b.stops = append(b.stops, stop)
 		go func() { done <- n.Run(ctx) }()
 	}
 	t.Cleanup(func() {
-		cancel()
+		for _, stop := range b.stops {
+			stop()
+		}
 		for range b.nodes {
 			<-done
 		}
@@ -175,6 +180,10 @@
 		b.t = t
 		testWithdrawnKey(is.New(t), b)
 	})
+	t.Run("graceful stop", func(t *testing.T) {
+		b.t = t
+		testGracefulStop(is.New(t), b)
+	})
 }
 
 func testAnswer(is *is.I, b *bench) {
@@ -340,3 +349,26 @@
 	}
 	return resp.StatusCode(), string(resp.Body())
 }
+
+// testGracefulStop stops a process while requests run and wait there: each is finished, and its units go to the others.
+func testGracefulStop(is *is.I, b *bench) {
+	n := b.nodes[1]
+	const requests = 24
+	outcomes := make(chan string, requests)
+	for range requests {
+		go func() {
+			_, _, outcome := b.post(n, QueuesPath+"catalogue"+RequestsPath, `{"runMs":1500}`, HeaderRequest, newID())
+			outcomes <- outcome
+		}()
+	}
+	b.until("busy", func() bool { return n.serving.Load() == requests })
+	b.stops[1]()
+	for range requests {
+		is.Equal(<-outcomes, OutcomeAnswered)
+	}
+	b.until("left", func() bool {
+		m, _ := b.nodes[0].state.Tables().Member(n.settings.Seat)
+		return !m.Live
+	})
+	is.Equal(b.nodes[0].state.Tables().Ledger("carvers").Hold(n.settings.Seat).Held(), 0)
+}
