The test of a graceful stop sees a stop that does not wait

Change: the test counts requests without an outcome at the moment of the return.

Broken on purpose: 16 requests without an outcome, the test fails. Whole: passes.

--- a/entry/path_test.go
+++ b/entry/path_test.go
@@ -31,6 +31,10 @@
 	nodes []*Node
 	// stops ends each node gracefully.
 	stops []context.CancelFunc
+	// ended receives, for each node that ended, the requests that had no outcome then.
+	ended chan int64
+	// gone counts nodes that a test saw end.
+	gone int
 }
 
 func freeAddress() string { return stand.Loopback(1)[0] }
@@ -48,7 +52,7 @@
 		t.Fatal(err)
 	}
 	hash := sha256.Sum256([]byte(testToken))
-	done := make(chan error, 2)
+	b.ended = make(chan int64, 2)
 	for i := range 2 {
 		s := DefaultSettings()
 		s.Listen, s.Seat, s.Zone, s.Platform = freeAddress(), freeAddress(), "sibiu-a", settings.Listen
@@ -59,14 +63,19 @@
 		ctx, stop := context.WithCancel(context.Background())
 		b.nodes = append(b.nodes, n)
 		b.stops = append(b.stops, stop)
-		go func() { done <- n.Run(ctx) }()
+		go func() {
+			if err := n.Run(ctx); err != nil {
+				t.Error(err)
+			}
+			b.ended <- n.serving.Load()
+		}()
 	}
 	t.Cleanup(func() {
 		for _, stop := range b.stops {
 			stop()
 		}
-		for range b.nodes {
-			<-done
+		for range len(b.nodes) - b.gone {
+			<-b.ended
 		}
 		wait, stop := context.WithTimeout(context.Background(), time.Second)
 		defer stop()
@@ -363,6 +372,9 @@
 	}
 	b.until("busy", func() bool { return n.serving.Load() == requests })
 	b.stops[1]()
+	cut := <-b.ended
+	b.gone++
+	is.Equal(cut, int64(0)) // a process that ends any earlier cuts requests
 	for range requests {
 		is.Equal(<-outcomes, OutcomeAnswered)
 	}
