--- a/entry/path_test.go
+++ b/entry/path_test.go
@@ -159,40 +159,30 @@
 	testKey    = bearer + "bench." + testSecret
 )
 
+// TestPath runs its parts in order, because the last ones take keys and processes away.
 func TestPath(t *testing.T) {
 	b := newBench(t)
-	for name, run := range map[string]func(is *is.I, b *bench){
-		"answer":            testAnswer,
-		"repeat":            testRepeatAtAnotherNode,
-		"error answer":      testErrorAnswerOfOnceRequest,
-		"bad input":         testBadInput,
-		"operators' change": testOperators,
-		"key history":       testKeyHistory,
+	for _, part := range []struct {
+		name string
+		run  func(is *is.I, b *bench)
+	}{
+		{"answer", testAnswer},
+		{"repeat", testRepeatAtAnotherNode},
+		{"error answer", testErrorAnswerOfOnceRequest},
+		{"bad input", testBadInput},
+		{"operators' change", testOperators},
+		{"key history", testKeyHistory},
+		{"leaving host", testLeavingHost},
+		{"cut off from the platform", testCutOff},
+		{"withdrawn key", testWithdrawnKey},
+		{"graceful stop", testGracefulStop},
 	} {
-		t.Run(name, func(t *testing.T) {
+		t.Run(part.name, func(t *testing.T) {
 			b.t = t
-			run(is.New(t), b)
+			part.run(is.New(t), b)
 			b.stand.SetFaults(stand.Faults{})
 		})
 	}
-	t.Run("leaving host", func(t *testing.T) {
-		b.t = t
-		testLeavingHost(is.New(t), b)
-		b.stand.SetFaults(stand.Faults{})
-	})
-	t.Run("cut off from the platform", func(t *testing.T) {
-		b.t = t
-		testCutOff(is.New(t), b)
-		b.stand.SetFaults(stand.Faults{})
-	})
-	t.Run("withdrawn key", func(t *testing.T) {
-		b.t = t
-		testWithdrawnKey(is.New(t), b)
-	})
-	t.Run("graceful stop", func(t *testing.T) {
-		b.t = t
-		testGracefulStop(is.New(t), b)
-	})
 }
 
 func testAnswer(is *is.I, b *bench) {
