--- a/agent/holder.go
+++ b/agent/holder.go
@@ -35,10 +35,12 @@
 	epoch    int64
 	progress *stream
 	cloud    *platform.Cloud
-	advisor  *platform.Advisor
-	advice   chan sched.Question
-	intake   *intake
-	resigned atomic.Bool
+	// hostSlots bounds the orders that are on their way to the cloud.
+	hostSlots chan struct{}
+	advisor   *platform.Advisor
+	advice    chan sched.Question
+	intake    *intake
+	resigned  atomic.Bool
 	// confirmedAt is when the store was last asked with the answer that no later holder has claimed.
 	confirmedAt atomic.Int64
 	ready       atomic.Bool
@@ -66,12 +68,14 @@
 func newHolder(a *Agent, epoch int64) *Holder {
 	h := &Holder{
 		agent: a, epoch: epoch, wake: make(chan struct{}, 1),
-		table:   sched.New(a.settings.Bounds, sched.WithToken(epoch, a.clock.Now()), sched.WithNode(a.settings.Node)),
+		table: sched.New(a.settings.Bounds, sched.WithToken(epoch, a.clock.Now()), sched.WithNode(a.settings.Node),
+			sched.WithHostRate(a.settings.Cloud.ActionsPerS)),
 		drivers: map[work.TargetID]*driver{}, waiting: map[work.JobID][]chan struct{}{},
 	}
 	h.progress = &stream{agent: a, topic: progressTopic, part: 0, epoch: epoch}
 	h.intake = newIntake(h, &stream{agent: a, topic: jobsTopic, part: holderPart, epoch: epoch})
-	h.cloud = platform.NewCloud(a.settings.Cloud.Address, a.settings.Node)
+	h.cloud = platform.NewCloud(a.settings.Cloud.Address, a.settings.Node, hostCalls)
+	h.hostSlots = make(chan struct{}, hostCalls)
 	h.advisor = platform.NewAdvisor(a.settings.AdviceAddress)
 	h.advice = make(chan sched.Question, adviceQueue)
 	h.ctx, h.cancel = context.WithCancelCause(context.Background())
--- a/agent/hosts.go
+++ b/agent/hosts.go
@@ -18,6 +18,8 @@
 	cloudWait = 2 * time.Second
 	// orderFresh is how old the record behind an order may be when it is sent, so that a holder that was paused sends nothing after its successor; successors wait longer than that.
 	orderFresh = 500 * time.Millisecond
+	// hostCalls is how many orders are sent at once; at a few milliseconds a call that is several hundred a second, more than the cloud takes.
+	hostCalls = 8
 	// tellEvery is how often operators are told how far waves are.
 	tellEvery = 250 * time.Millisecond
 )
@@ -48,6 +50,12 @@
 
 // orderHost sends an order whose record was begun at the given time, unless that is too long ago.
 func (h *Holder) orderHost(o sched.HostOrder, began time.Duration) {
+	select {
+	case h.hostSlots <- struct{}{}:
+		defer func() { <-h.hostSlots }()
+	case <-h.ctx.Done():
+		return
+	}
 	h.agent.clock.Sync()
 	if h.ctx.Err() != nil || h.agent.clock.Now()-began > orderFresh {
 		h.mu.Lock()
--- a/sched/host.go
+++ b/sched/host.go
@@ -364,6 +364,9 @@
 			continue
 		}
 		if t.quiet(h, o.Wave > 0 && t.urgent(t.waves[o.Wave], h, now), now) {
+			if !t.hostBucket.take(now) {
+				return
+			}
 			t.issue(h, now)
 			t.markLeaving()
 		}
--- a/sched/script_test.go
+++ b/sched/script_test.go
@@ -138,6 +138,8 @@
 		p.hosts = nil
 	case "wave":
 		p.table.AddWave(work.Wave{Number: 1, Hosts: strings.Split(o["hosts"], ","), DeadlineS: float64(number(o["deadline"])), Cap: number(o["cap"])}, p.now)
+	case "hostRate":
+		p.table.hostBucket = newBucket(float64(number(args[0])))
 	case "hostAnswer":
 		p.hostAnswer(args[0], o)
 	case "job":
--- a/sched/table.go
+++ b/sched/table.go
@@ -59,6 +59,8 @@
 	hostRecords map[string]work.HostProgress
 	hostsRead   bool
 	hostOrders  []HostOrder
+	// hostBucket limits orders for hosts to what the cloud takes.
+	hostBucket bucket
 	// barred holds moves that the cloud does not take, as host/pool.
 	barred    map[string]bool
 	waves     map[int64]*waveRow
@@ -83,6 +85,14 @@
 // WithNode sets the name by which the cloud knows the holder.
 func WithNode(node string) Option { return func(t *Table) { t.node = node } }
 
+// WithHostRate sets how many orders for hosts the cloud takes a second; 0 is no limit.
+func WithHostRate(perSecond float64) Option {
+	return func(t *Table) { t.hostBucket = newBucket(perSecond * hostRateShare) }
+}
+
+// hostRateShare leaves a part of the cloud's rate to calls of another holder that overlap.
+const hostRateShare = 0.8
+
 // New returns an empty table.
 func New(bounds work.Bounds, opts ...Option) *Table {
 	t := &Table{
