Waves empty hosts with serving items first, and serving items that fit nowhere get a host

Change: a quarter of a wave's cap goes to hosts with serving items first; their items avoid hosts that are still to go; demand counts what an item takes most of; a pool gets hosts for serving items that found no room; an item without memory keeps no others from the processors.

--- a/sched/apportion.go
+++ b/sched/apportion.go
@@ -34,8 +34,8 @@
 	for _, p := range rows {
 		p.target = 0
 		if !p.standby {
-			p.target = p.least
-			hosts -= p.least
+			p.target = p.leastNow()
+			hosts -= p.target
 		}
 	}
 	hosts = deal(rows, hosts, func(p *poolRow) int { return p.asks(p.demand) })
@@ -44,6 +44,15 @@
 	})
 }
 
+// leastNow is the pool's least, and room for serving items that fit nowhere: hosts may be full in parts although they are not in sum.
+func (p *poolRow) leastNow() int {
+	if p.stuckCount == 0 || p.cores == 0 {
+		return p.least
+	}
+	more := min(int((p.stuck+p.cores-1)/p.cores)+1, p.stuckCount)
+	return max(p.least, len(p.hosts)+more)
+}
+
 // deal gives pools the hosts that they ask for, in proportion if there are too few, and returns what is left.
 func deal(rows []*poolRow, hosts int, asks func(*poolRow) int) int {
 	all := 0
--- a/sched/host.go
+++ b/sched/host.go
@@ -332,6 +332,7 @@
 		return
 	}
 	t.markIdle(now)
+	t.markDue()
 	for _, w := range t.waveOrder {
 		t.planWave(w, now)
 	}
--- a/sched/job.go
+++ b/sched/job.go
@@ -60,6 +60,8 @@
 	left int
 	// waiting counts the items that wait for a run.
 	waiting int
+	// noRoom means that no target had room for a waiting item when it was looked for last.
+	noRoom bool
 	// permits is nil until advice is asked for.
 	permits *permits
 }
--- a/sched/place.go
+++ b/sched/place.go
@@ -55,6 +55,8 @@
 	rackWeight = 2.0
 	// apartWeight spreads serving items of a step, so that taking a host away takes one of them.
 	apartWeight = 1.0
+	// dueWeight keeps serving items from targets that are about to go, as long as others have room.
+	dueWeight = 3.0
 	// fillWeight spreads filling items by the processor time that they would use.
 	fillWeight = 1.0
 	// disturbWeight keeps filling items from targets with serving ones.
@@ -78,6 +80,9 @@
 	if it.avoid == row {
 		score -= avoidWeight
 	}
+	if s.Serving && row.upkeepDue {
+		score -= dueWeight
+	}
 	if s.Serving && s.MaxAway > 0 {
 		score -= apartWeight * float64(onTarget(row, it.step))
 	}
--- a/sched/plan.go
+++ b/sched/plan.go
@@ -13,15 +13,16 @@
 	t.Expire(now)
 	t.unfoldDue(now)
 	t.prune()
-	full := map[string]int64{}
+	full := map[string]work.Amount{}
 	for _, s := range t.candidates(now) {
 		// What is larger than an item that found no room finds none either.
-		pool, cpu := s.job.queue.Pool, s.spec.Charge().CPU
-		if least, ok := full[pool]; ok && cpu >= least {
+		pool, charge := s.job.queue.Pool, s.spec.Charge()
+		if least, ok := full[pool]; ok && least.Fits(charge) {
+			s.noRoom = true
 			continue
 		}
 		if t.place(s, now) {
-			full[pool] = cpu
+			full[pool] = charge
 		}
 	}
 	if now-t.hostsAt >= hostsEvery {
@@ -132,6 +133,7 @@
 		return false
 	}
 	noRoom := false
+	s.noRoom = false
 	placed := 0
 	var first, last *target
 	for _, it := range s.items {
@@ -146,6 +148,7 @@
 			if s.advised() {
 				t.seek(s, now)
 			}
+			s.noRoom = true
 			noRoom = !s.advised() && s.spec.Label == "" && s.spec.MaxPerTarget == 0
 			break
 		}
--- a/sched/pools.go
+++ b/sched/pools.go
@@ -39,7 +39,12 @@
 	least      int
 	// target is the number of hosts that the pool should have.
 	target int
-	cores  int64
+	// cores and memMB are the room of the pool's largest host.
+	cores int64
+	memMB int64
+	// stuck is the amount of serving items that wait for want of room, and stuckCount their number.
+	stuck      int64
+	stuckCount int
 	// waiting, running and serving are the pool's items by what they ask, in thousandths of a core; late is the part of waiting that cannot be in time any more.
 	waiting int64
 	late    int64
@@ -106,6 +111,7 @@
 	apart := map[string]int{}
 	for _, p := range t.pools {
 		p.waiting, p.running, p.serving, p.late = 0, 0, 0, 0
+		p.stuck, p.stuckCount = 0, 0
 	}
 	for _, j := range t.active {
 		for _, o := range j.occs {
@@ -119,7 +125,7 @@
 		c := &t.config.Pools[i]
 		p := t.pool(c.Name)
 		p.standby = c.Standby
-		p.hosts, p.coming, p.cores = p.hosts[:0], 0, 0
+		p.hosts, p.coming, p.cores, p.memMB = p.hosts[:0], 0, 0, 0
 		p.least = max(leastHosts, apart[c.Name])
 		faded := p.demand * math.Pow(decayPerSecond, (now-p.at).Seconds())
 		p.demand, p.at = max(float64(p.waiting-p.late+p.running+p.serving), faded, p.arrivingNow(now)), now
@@ -136,12 +142,12 @@
 			if h.order == nil {
 				p.hosts = append(p.hosts, h)
 			}
-			p.cores = max(p.cores, h.Capacity.CPU)
+			p.cores, p.memMB = max(p.cores, h.Capacity.CPU), max(p.memMB, h.Capacity.MemMB)
 		}
 	}
 	for _, p := range rows {
 		if p.cores == 0 && len(t.hostOrder) > 0 {
-			p.cores = t.hostOrder[0].Capacity.CPU
+			p.cores, p.memMB = t.hostOrder[0].Capacity.CPU, t.hostOrder[0].Capacity.MemMB
 		}
 	}
 	up := 0
@@ -154,6 +160,14 @@
 	return rows
 }
 
+// size is what an amount takes of a host, by what it takes most of, in thousandths of a core.
+func (p *poolRow) size(a work.Amount) int64 {
+	if p.memMB == 0 {
+		return a.CPU
+	}
+	return max(a.CPU, a.MemMB*p.cores/p.memMB)
+}
+
 func (t *Table) pool(name string) *poolRow {
 	p, ok := t.pools[name]
 	if !ok {
@@ -176,7 +190,11 @@
 	if j.active() && s.waiting > 0 && s.ready() {
 		waiting = s.waiting
 	}
-	cpu := s.spec.Charge().CPU
+	cpu := p.size(s.spec.Charge())
+	if s.spec.Serving && s.noRoom && waiting > 0 && s.spec.Label == "" && !s.advised() && s.spec.Charge().Fits(work.Amount{CPU: p.cores, MemMB: p.memMB, GPUs: s.spec.Ask.GPUs}) {
+		p.stuck += int64(waiting) * cpu
+		p.stuckCount += waiting
+	}
 	p.waiting += int64(waiting) * cpu
 	if waiting > 0 && !s.spec.Serving && t.slack(s, now) < 0 {
 		p.late += int64(waiting) * cpu
--- a/sched/target.go
+++ b/sched/target.go
@@ -53,6 +53,8 @@
 	leaving bool
 	// leavingNow means that the order for its host has been given.
 	leavingNow bool
+	// upkeepDue means that its host is still to be maintained for a wave.
+	upkeepDue bool
 	// missingSince is when the list of hosts was first asked for that does not show the silent target, 0 while it shows it.
 	missingSince time.Duration
 }
--- a/sched/wave.go
+++ b/sched/wave.go
@@ -45,14 +45,15 @@
 			room--
 		}
 	}
-	busy := t.busyRoom(w, left, now)
 	t.explainWave(w, left, now)
 	sort.SliceStable(left, func(a, b int) bool { return t.burden(left[a]) < t.burden(left[b]) })
+	room = t.drainServing(w, left, room, now)
+	busy := t.busyRoom(w, left, now)
 	for _, h := range left {
 		if room <= 0 {
 			return
 		}
-		if h.order != nil || h.State != work.HostUp || now < h.notBefore {
+		if !h.free(now) || t.burden(h) >= servingBurden {
 			continue
 		}
 		if h.idleSince == 0 {
@@ -61,9 +62,61 @@
 			}
 			busy--
 		}
-		h.order = &pendingOrder{HostOrder: HostOrder{Host: h.Name, Wave: w.Number}, stage: stageDraining, since: now}
-		t.leave(h, true)
+		t.drainFor(w, h, now)
+		room--
+	}
+}
+
+// servingPart is the part of a wave's cap that hosts with serving items may take at once.
+const servingPart = 4
+
+// drainServing begins with hosts with serving items before all others and returns the room that is left: their items leave one after the other within their steps' budgets, which takes longest.
+func (t *Table) drainServing(w *waveRow, left []*host, room int, now time.Duration) int {
+	serving := max(w.Cap/servingPart, 1)
+	for _, h := range left {
+		if h.order != nil && h.order.Wave == w.Number && h.order.stage == stageDraining && t.burden(h) >= servingBurden {
+			serving--
+		}
+	}
+	for _, h := range left {
+		if room <= 0 || serving <= 0 {
+			return room
+		}
+		if !h.free(now) || t.burden(h) < servingBurden {
+			continue
+		}
+		t.drainFor(w, h, now)
 		room--
+		serving--
+	}
+	return room
+}
+
+// free reports whether the host may be given an order.
+func (h *host) free(now time.Duration) bool {
+	return h.order == nil && h.State == work.HostUp && now >= h.notBefore
+}
+
+// drainFor begins to empty a host for its upkeep.
+func (t *Table) drainFor(w *waveRow, h *host, now time.Duration) {
+	h.order = &pendingOrder{HostOrder: HostOrder{Host: h.Name, Wave: w.Number}, stage: stageDraining, since: now}
+	t.leave(h, true)
+}
+
+// markDue notes which targets are still to go for waves, so that serving items do not move to where they would have to leave again.
+func (t *Table) markDue() {
+	for _, row := range t.order {
+		row.upkeepDue = false
+	}
+	for _, w := range t.waveOrder {
+		if w.completed {
+			continue
+		}
+		for _, h := range t.remaining(w) {
+			if row, ok := t.targets[h.Target]; ok {
+				row.upkeepDue = true
+			}
+		}
 	}
 }
 
@@ -75,7 +128,7 @@
 	remains := max(t.deadline(w)-now, time.Second)
 	n := 1 + int(time.Duration(len(left))*hostTurn/remains)
 	for _, h := range left {
-		if h.order != nil && h.order.Wave == w.Number && h.idleSince == 0 {
+		if h.order != nil && h.order.Wave == w.Number && h.idleSince == 0 && t.burden(h) < servingBurden {
 			n--
 		}
 	}
