Steps of the tables are paced, teams keep their shares in another's overload, late work goes by its use

Change: steps 8 ms apart or four times as long as the last one took; drivers matched after news of targets and each 100 ms; a candidate's keys worked out once; a holder yields whenever a much stronger process follows. Steps of a team that has its weighted share of the pool at work come after others' of the same priority; of late jobs, those that are of some use come before useless ones.

--- a/agent/holder.go
+++ b/agent/holder.go
@@ -19,6 +19,10 @@
 const (
 	// flushEvery is the least time between two records of progress, so that one append carries many starts and ends.
 	flushEvery = 30 * time.Millisecond
+	// stepEvery is the least time between two steps of the tables; news that come meanwhile are taken together.
+	stepEvery = 8 * time.Millisecond
+	// stepRest is how many times as long as a step took the next one waits, so that steps take a fifth of the processor at most.
+	stepRest = 4
 	// tickEvery is how often the tables are stepped when nothing happens.
 	tickEvery = 100 * time.Millisecond
 	// targetsEvery is the least time between two reads of targets' news; a host that was moved is of use once its target is known.
@@ -51,6 +55,9 @@
 	mu      sync.Mutex
 	table   *sched.Table
 	drivers map[work.TargetID]*driver
+	// driversDue means that the targets have changed since the drivers were matched with them, at driversAt.
+	driversDue bool
+	driversAt  time.Duration
 	// waiting holds callers whose cancellation is being recorded.
 	waiting map[work.JobID][]chan struct{}
 	// directNext is the next offset of the jobs that were written past the holder.
@@ -133,37 +140,44 @@
 func (h *Holder) loop() {
 	tick := time.NewTicker(tickEvery)
 	defer tick.Stop()
+	due := newAlarm()
+	defer due.stop()
 	written := make(chan error, 1)
 	var batch *sched.Batch
-	var flushedAt time.Duration
+	var flushedAt, nextStep time.Duration
 	for {
-		var err error
-		done := false
 		select {
 		case <-h.ctx.Done():
 			return
 		case <-h.wake:
+			due.set(nextStep - h.agent.clock.Now())
+			continue
 		case <-tick.C:
 			h.agent.clock.Sync()
-		case err = <-written:
-			done = true
-		}
-		if err != nil {
-			h.cancel(err)
-			return
-		}
-		if done {
+			due.set(nextStep - h.agent.clock.Now())
+			continue
+		case err := <-written:
+			if err != nil {
+				h.cancel(err)
+				return
+			}
 			h.flushed(batch, flushedAt)
 			batch = nil
-		}
-		if batch != nil {
-			h.step()
+			due.set(nextStep - h.agent.clock.Now())
 			continue
+		case <-due.C():
+			due.rang()
 		}
-		if wait := flushEvery - (h.agent.clock.Now() - flushedAt); wait > 0 && !sleep(h.ctx, wait) {
-			return
+		began := h.agent.clock.Now()
+		if wait := flushEvery - (began - flushedAt); batch == nil && wait > 0 {
+			due.set(wait)
+			continue
 		}
 		h.step()
+		nextStep = restAfter(began, h.agent.clock.Now())
+		if batch != nil {
+			continue
+		}
 		next, err := h.flush()
 		if err != nil {
 			h.cancel(err)
@@ -177,6 +191,11 @@
 	}
 }
 
+// restAfter is when the tables may be stepped again, so that steps leave most of the processor to calls.
+func restAfter(began, ended time.Duration) time.Duration {
+	return ended + max(stepEvery, stepRest*(ended-began))
+}
+
 func (h *Holder) step() {
 	now := h.agent.clock.Now()
 	h.mu.Lock()
@@ -186,7 +205,10 @@
 	events := h.table.TakeEvents()
 	questions := h.table.Questions()
 	deposed := h.table.Deposed()
-	h.syncDrivers()
+	if h.driversDue || now-h.driversAt >= tickEvery {
+		h.driversDue, h.driversAt = false, now
+		h.syncDrivers()
+	}
 	h.dispatch(orders)
 	h.mu.Unlock()
 	h.explain(events)
--- a/agent/standing.go
+++ b/agent/standing.go
@@ -37,7 +37,7 @@
 // strongerBy is how much more of a core another process must have for the holder to yield to it; a takeover costs about half a second.
 const strongerBy = 1.5
 
-// yieldAfter is how long after a takeover the holder looks for a stronger process, when all followers have been heard.
+// yieldAfter is how often the holder looks for a stronger process, and how long after a takeover, when all followers have been heard.
 const yieldAfter = 1500 * time.Millisecond
 
 // successor returns the strongest process that follows this one lately, if it is much stronger or this one stops.
@@ -59,15 +59,17 @@
 	return successor
 }
 
-// yield hands the scheduling over once if a much stronger process follows.
+// yield hands the scheduling over as soon as a much stronger process follows.
 func (h *Holder) yield() {
-	if !sleep(h.ctx, yieldAfter) {
-		return
-	}
-	if successor := h.successor(); successor != "" && !h.troubled() {
+	for sleep(h.ctx, yieldAfter) {
+		successor := h.successor()
+		if successor == "" || h.troubled() {
+			continue
+		}
 		h.agent.log.Info("yielding", zap.Int64("epoch", h.epoch), zap.String("to", successor))
 		h.resigned.Store(true)
 		h.depose("a stronger process follows")
+		return
 	}
 }
 
--- a/agent/tails.go
+++ b/agent/tails.go
@@ -137,6 +137,7 @@
 			}
 		}
 	}
+	h.driversDue = true
 	for id, d := range h.drivers {
 		if listed[id] {
 			// A new life has to see this holder's fence before an earlier one's orders come.
--- a/sched/admit.go
+++ b/sched/admit.go
@@ -38,8 +38,7 @@
 		return Admission{}
 	}
 	chain := t.chainMs(j)
-	objective := q.SlackFactor*chain + float64(q.TargetMs)
-	a := Admission{Wait: t.backlog(q), Limit: time.Duration(uselessAfter*objective-chain) * time.Millisecond}
+	a := Admission{Wait: t.backlog(q), Limit: uselessAfter*t.objective(j) - time.Duration(chain*float64(time.Millisecond))}
 	if a.Wait > a.Limit {
 		a.Refused = true
 		a.Retry = min(max(a.Wait-a.Limit, retryLeast), retryMost)
--- a/sched/load_test.go
+++ b/sched/load_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"math/rand"
+	"strconv"
 	"testing"
 	"time"
 
@@ -24,8 +25,19 @@
 	running map[work.ItemID]*played
 	missed  int
 	inTime  int
+	// overload is the rate of jobs a second in a burst.
+	overload float64
+	// small counts what the team that sends little got in time, of all that it sent.
+	small, smallSent int
 }
 
+// Teams of an overload: one sends most of it, and has a small part of the weights.
+const (
+	hotTeam   = "hot"
+	smallTeam = "small"
+	smallPart = 0.1
+)
+
 type played struct {
 	target work.TargetID
 	run    int
@@ -33,24 +45,29 @@
 }
 
 const (
-	loadTick    = 20 * time.Millisecond
-	loadLength  = 40 * time.Second
+	loadTick   = 20 * time.Millisecond
+	loadLength = 40 * time.Second
+	// loadDrain is long enough for all that has come to be completed.
+	loadDrain   = 50 * time.Second
 	loadTargets = 6
 )
 
-func playBurst(seed int64, queue work.Queue) *burst {
+func playBurst(seed int64, queue work.Queue) *burst { return playLoad(seed, queue, 22) }
+
+func playLoad(seed int64, queue work.Queue, overload float64) *burst {
 	b := &burst{
-		Rand: rand.New(rand.NewSource(seed)), table: New(testBounds(), WithToken(1, 0)), now: time.Second,
+		overload: overload,
+		Rand:     rand.New(rand.NewSource(seed)), table: New(testBounds(), WithToken(1, 0)), now: time.Second,
 		ends: map[work.TargetID][]work.EndedRow{}, next: map[work.TargetID]int64{}, running: map[work.ItemID]*played{},
 	}
 	queue.Name, queue.Pool, queue.MaxAttempts = "q", "p", 3
-	b.table.Configure(&work.Config{Version: 1, Queues: []work.Queue{queue}, Pools: []work.Pool{{Name: "p"}}})
+	b.table.Configure(&work.Config{Version: 1, Queues: []work.Queue{queue}, Pools: []work.Pool{{Name: "p"}}, Teams: []work.Team{{Name: hotTeam, Weight: 1}, {Name: smallTeam, Weight: 1}}})
 	for n := range loadTargets {
 		id := work.TargetID(fmt.Sprintf("t%d", n))
 		b.table.List(work.Target{ID: id, Pool: "p", Address: "a", Capacity: work.Amount{CPU: 16000, MemMB: 1 << 20}}, b.now)
 	}
 	arrivals := rand.New(rand.NewSource(seed + 1))
-	for b.now < loadLength+20*time.Second {
+	for b.now < loadLength+loadDrain {
 		b.tick(arrivals)
 	}
 	return b
@@ -59,10 +76,12 @@
 func (b *burst) tick(arrivals *rand.Rand) {
 	rate := 2.0
 	if int(b.now.Seconds())%16 < 4 {
-		rate = 22
+		rate = b.overload
 	}
-	if b.now < loadLength && arrivals.Float64() < rate*loadTick.Seconds() {
-		b.submit(arrivals)
+	for chance := rate * loadTick.Seconds(); b.now < loadLength && chance > 0; chance-- {
+		if arrivals.Float64() < chance {
+			b.submit(arrivals)
+		}
 	}
 	for n := range loadTargets {
 		b.renew(work.TargetID(fmt.Sprintf("t%d", n)))
@@ -84,12 +103,16 @@
 
 // runTime is the true run time of an item, the same whatever the order.
 func (b *burst) runTime(id work.ItemID) time.Duration {
-	r := rand.New(rand.NewSource(int64(len(b.jobs)) + int64(id.Step)*100 + int64(id.Index)))
+	job, err := strconv.ParseInt(string(id.Job), 16, 64)
+	if err != nil {
+		panic(err)
+	}
+	r := rand.New(rand.NewSource(job*10_000 + int64(id.Step)*100 + int64(id.Index)))
 	return time.Duration(800*math.Exp(0.4*r.NormFloat64())) * time.Millisecond
 }
 
 func (b *burst) submit(arrivals *rand.Rand) {
-	j := &work.Job{ID: work.JobID(fmt.Sprintf("%016x", len(b.jobs)+1)), Queue: "q", Spec: "s", AcceptedMs: b.now.Milliseconds()}
+	j := &work.Job{ID: work.JobID(fmt.Sprintf("%016x", len(b.jobs)+1)), Queue: "q", Spec: "s", Team: hotTeam, AcceptedMs: b.now.Milliseconds()}
 	steps := 1 + arrivals.Intn(3)
 	for n := range steps {
 		s := work.Step{
@@ -101,6 +124,10 @@
 		}
 		j.Steps = append(j.Steps, s)
 	}
+	if arrivals.Float64() < smallPart {
+		j.Team = smallTeam
+		b.smallSent++
+	}
 	b.jobs = append(b.jobs, j)
 	// In time is what callers care for: 1.6 times the true chain, and 600 ms.
 	b.due = append(b.due, b.now+time.Duration(1.6*800*float64(steps)+600)*time.Millisecond)
@@ -149,6 +176,9 @@
 		if _, state, _ := b.table.Lookup(j.ID); state == work.Completed {
 			if b.now <= b.due[n] {
 				b.inTime++
+				if j.Team == smallTeam {
+					b.small++
+				}
 			} else {
 				b.missed++
 			}
@@ -172,3 +202,12 @@
 	t.Logf("in time: %d by slack, %d by arrival, of %d", slack, arrival, all)
 	is.True(slack > arrival)
 }
+
+// TestATeamKeepsItsShareInAnothersOverload plays bursts of several times what the pool can do, nine tenths of them by one team; the other one has half of the weights.
+func TestATeamKeepsItsShareInAnothersOverload(t *testing.T) {
+	is := is.New(t)
+	b := playLoad(1, work.Queue{SlackFactor: 1.6, TargetMs: 600}, 60)
+	is.Equal(b.inTime+b.missed, len(b.jobs)) // everything is completed
+	t.Logf("in time %d of %d, small team %d of %d", b.inTime, len(b.jobs), b.small, b.smallSent)
+	is.True(2*b.small > b.smallSent) // a team within its share is in time
+}
--- a/sched/plan.go
+++ b/sched/plan.go
@@ -1,8 +1,9 @@
 package sched
 
 import (
+	"cmp"
 	"fmt"
-	"sort"
+	"slices"
 	"time"
 
 	"lavenderwing.example/lavenderwing/work"
@@ -13,8 +14,13 @@
 	t.Expire(now)
 	t.unfoldDue(now)
 	t.prune()
+	if now-t.sharesAt >= sharesEvery {
+		t.sharesAt = now
+		t.measureShares(now)
+	}
 	full := map[string]work.Amount{}
-	for _, s := range t.candidates(now) {
+	for _, c := range t.candidates(now) {
+		s := c.step
 		// What is larger than an item that found no room finds none either.
 		pool, charge := s.job.queue.Pool, s.spec.Charge()
 		if least, ok := full[pool]; ok && least.Fits(charge) {
@@ -32,6 +38,9 @@
 	}
 }
 
+// sharesEvery is how often teams' shares are added up, a fraction of the time that an item runs.
+const sharesEvery = 50 * time.Millisecond
+
 // hostsEvery is how often the hosts' orders are planned.
 const hostsEvery = 100 * time.Millisecond
 
@@ -74,9 +83,47 @@
 	return false
 }
 
+// candidate is a step with waiting items and what its turn depends on.
+type candidate struct {
+	step     *step
+	serving  bool
+	late     lateness
+	priority int
+	// over means that the step's team has more than its share of the pool at work.
+	over  bool
+	slack time.Duration
+}
+
+// lateness says of what use a step's job can still be.
+type lateness int
+
+const (
+	inTime lateness = iota
+	// late jobs are of little use to their callers, and useless ones of none.
+	late
+	useless
+)
+
+// lateness returns how late the step's job will be with the given slack.
+func (t *Table) lateness(s *step, slack time.Duration) lateness {
+	switch {
+	case slack >= 0:
+		return inTime
+	case slack+(uselessAfter-1)*t.objective(s.job) >= 0:
+		return late
+	default:
+		return useless
+	}
+}
+
+// objective is how long the job may take from its begin.
+func (t *Table) objective(j *job) time.Duration {
+	return time.Duration(j.queue.SlackFactor*t.chainMs(j)+float64(j.queue.TargetMs)) * time.Millisecond
+}
+
 // candidates returns the steps with waiting items whose turn has come, in the order in which they are served.
-func (t *Table) candidates(now time.Duration) []*step {
-	var list []*step
+func (t *Table) candidates(now time.Duration) []candidate {
+	list := t.queue[:0]
 	for _, j := range t.active {
 		if !j.active() {
 			continue
@@ -87,29 +134,39 @@
 			}
 			for _, s := range o.steps {
 				if s.waiting > 0 && s.ready() {
-					list = append(list, s)
+					slack := t.slack(s, now)
+					list = append(list, candidate{step: s, serving: s.spec.Serving, late: t.lateness(s, slack), priority: j.queue.Priority, over: !s.spec.Serving && t.overShare(j), slack: slack})
 				}
 			}
 		}
 	}
-	sort.SliceStable(list, func(a, b int) bool { return t.before(list[a], list[b], now) })
+	slices.SortStableFunc(list, before)
+	t.queue = list
 	return list
 }
 
-// before orders steps: serving ones, because they are away until they run, then by priority, then by the time left.
-func (t *Table) before(a, b *step, now time.Duration) bool {
-	if a.spec.Serving != b.spec.Serving {
-		return a.spec.Serving
+// before orders steps: serving ones, because they are away until they run, then by priority, then by the time left; what is of less use for being late comes last, and a team that has its share at work after one that has not.
+func before(a, b candidate) int {
+	switch {
+	case a.serving != b.serving:
+		return sign(a.serving)
+	case a.priority != b.priority:
+		return cmp.Compare(a.priority, b.priority)
+	case a.late != b.late:
+		return cmp.Compare(a.late, b.late)
+	case a.over != b.over:
+		return sign(b.over)
+	default:
+		return cmp.Compare(a.slack, b.slack)
 	}
-	pa, pb := a.job.queue.Priority, b.job.queue.Priority
-	if pa != pb {
-		return pa < pb
-	}
-	sa, sb := t.slack(a, now), t.slack(b, now)
-	if (sa < 0) != (sb < 0) {
-		return sb < 0
+}
+
+// sign orders what is first before what is not.
+func sign(first bool) int {
+	if first {
+		return -1
 	}
-	return sa < sb
+	return 1
 }
 
 // deadline is when the step's occurrence should be complete.
@@ -118,7 +175,7 @@
 	if s.occ.due > 0 {
 		begin = time.Duration(s.occ.due-t.wallOffset) * time.Millisecond
 	}
-	return begin + time.Duration(s.job.queue.SlackFactor*t.chainMs(s.job)+float64(s.job.queue.TargetMs))*time.Millisecond
+	return begin + t.objective(s.job)
 }
 
 // slack is how long the step may still wait for its job to be in time; steps that cannot make it any more have none.
--- a/sched/pools.go
+++ b/sched/pools.go
@@ -45,6 +45,10 @@
 	// stuck is the amount of serving items that wait for want of room, and stuckCount their number.
 	stuck      int64
 	stuckCount int
+	// loads holds what teams have at work, room the processors of usable targets and weights the sum of the weights of teams with work.
+	loads   []teamLoad
+	room    int64
+	weights float64
 	// waiting, running and serving are the pool's items by what they ask, in thousandths of a core; late is the part of waiting that cannot be in time any more.
 	waiting int64
 	late    int64
@@ -180,12 +184,7 @@
 func (t *Table) addDemand(s *step, apart map[string]int, now time.Duration) {
 	j := s.job
 	p := t.pool(j.queue.Pool)
-	ordered := 0
-	for _, it := range s.items {
-		if it.state == itemOrdered {
-			ordered++
-		}
-	}
+	ordered := s.left - s.waiting
 	waiting := 0
 	if j.active() && s.waiting > 0 && s.ready() {
 		waiting = s.waiting
--- a/sched/table.go
+++ b/sched/table.go
@@ -43,6 +43,9 @@
 	// pasts holds what each queue's ended runs have shown.
 	pasts map[string]*pastRuns
 
+	// queue holds the steps that wait, from the last plan; it is kept for its memory.
+	queue []candidate
+
 	dirty  []*job
 	orders []Order
 	held   []Order
@@ -68,6 +71,8 @@
 	pools     map[string]*poolRow
 	// hostsAt is when hosts were planned last.
 	hostsAt time.Duration
+	// sharesAt is when teams' shares were added up last.
+	sharesAt time.Duration
 	// poolsAt is when the pools' sizes were explained last.
 	poolsAt time.Duration
 	// wallOffset is the time of day in milliseconds since 1970 at time 0.
