Surplus hosts leave at once and are taken back, arriving work is extrapolated

Change: what is surplus for 0.5 s is drained into standby, idle or not, and taken back as long as its order has not been issued; the average of what arrives is extrapolated by its rise, at most twofold.

--- a/sched/pools.go
+++ b/sched/pools.go
@@ -14,8 +14,12 @@
 	headroom = 1.15
 	// decayPerSecond is the share of a past demand that still counts a second later.
 	decayPerSecond = 0.5
-	// idleBefore is how long a host runs nothing before it is given up by its pool.
-	idleBefore = 1200 * time.Millisecond
+	// surplusFor is how long a pool has more hosts than it wants before it gives them up; an idle host costs as much as a move in little over a second.
+	surplusFor = 500 * time.Millisecond
+	// trendLead is how far ahead arriving work is extrapolated while it rises: the time that a host takes to come, and the lag of the average.
+	trendLead = 2.0
+	// trendMost bounds the extrapolation, as a multiple of what arrives.
+	trendMost = 2.0
 	// arrivalWindow is the time over which arriving work is averaged: long enough to see more than one job, and a fraction of the time that a host takes to come.
 	arrivalWindow = time.Second
 	// lateWeight is the part of late work that hosts are asked for: it has to be finished, and earns little.
@@ -34,6 +38,10 @@
 	// arriving is the work that comes, in thousandths of a core that it would keep busy.
 	arriving   float64
 	arrivingAt time.Duration
+	// arrivingBefore is the same with a lag, by which a rise is seen.
+	arrivingBefore float64
+	// surplusSince is when the pool began to have more hosts than it wants, 0 while it has not.
+	surplusSince time.Duration
 	hosts      []*host
 	coming     int
 	least      int
@@ -66,6 +74,7 @@
 		}
 	}
 	t.explainPools(rows, now)
+	t.reclaim(rows)
 	givers := t.spareHosts(rows, now)
 	for {
 		p := shortest(rows)
@@ -84,12 +93,30 @@
 		return
 	}
 	for _, h := range givers {
-		if h.Pool != standby.name && h.idleSince > 0 && now-h.idleSince >= idleBefore {
+		if p := t.pools[h.Pool]; p != nil && p != standby && p.surplusSince > 0 && now-p.surplusSince >= surplusFor {
 			t.move(h, standby.name, now)
 		}
 	}
 }
 
+// reclaim takes back hosts that were to leave a pool which has become short, as long as their orders have not been issued.
+func (t *Table) reclaim(rows []*poolRow) {
+	for _, h := range t.hostOrder {
+		o := h.order
+		if o == nil || o.Wave > 0 || o.stage != stageDraining || o.repeated {
+			continue
+		}
+		to, from := t.pools[o.Pool], t.pools[h.Pool]
+		if to == nil || from == nil || !to.standby || from.standby || len(from.hosts)+from.coming >= from.wanted() {
+			continue
+		}
+		h.order = nil
+		t.leave(h, false)
+		from.hosts = append(from.hosts, h)
+		to.coming--
+	}
+}
+
 // arrive adds a job's work to what comes.
 func (p *poolRow) arrive(j *work.Job, now time.Duration) {
 	for i := range j.Steps {
@@ -107,6 +134,15 @@
 	return p.arriving * math.Exp(-(now-p.arrivingAt).Seconds()/arrivalWindow.Seconds())
 }
 
+// expected is the work that will come when hosts that are ordered now have come; it is to be called at each measurement.
+func (p *poolRow) expected(now time.Duration) float64 {
+	arriving := p.arrivingNow(now)
+	lag := math.Exp(-(now - p.at).Seconds() / arrivalWindow.Seconds())
+	p.arrivingBefore = arriving + (p.arrivingBefore-arriving)*lag
+	rise := max(arriving-p.arrivingBefore, 0) / arrivalWindow.Seconds()
+	return min(arriving+trendLead*rise, trendMost*arriving)
+}
+
 // wanted is the number of hosts that the pool should have.
 func (p *poolRow) wanted() int { return p.target }
 
@@ -132,7 +168,8 @@
 		p.hosts, p.coming, p.cores, p.memMB = p.hosts[:0], 0, 0, 0
 		p.least = max(leastHosts, apart[c.Name])
 		faded := p.demand * math.Pow(decayPerSecond, (now-p.at).Seconds())
-		p.demand, p.at = max(float64(p.waiting-p.late+p.running+p.serving), faded, p.arrivingNow(now)), now
+		expected := p.expected(now)
+		p.demand, p.at = max(float64(p.waiting-p.late+p.running+p.serving), faded, expected+float64(p.serving)), now
 		rows = append(rows, p)
 	}
 	for _, h := range t.hostOrder {
@@ -161,6 +198,14 @@
 		}
 	}
 	apportion(rows, up)
+	for _, p := range rows {
+		switch {
+		case len(p.hosts) <= p.wanted():
+			p.surplusSince = 0
+		case p.surplusSince == 0:
+			p.surplusSince = now
+		}
+	}
 	return rows
 }
 
