A takeover is decided by most answers, and not by a process that was cut off itself

Followers looked whether it was alive before the heartbeat that failed, waited for processes of the cut zone too, and claimed together after 1.7 s; a host of 0.192 of a core won, recovered in 1.8 s and yielded 1.5 s later.

Change: alive is judged after the heartbeat; one sight of the holder or most processes without one decide; a process that has just reached the store again waits 0.5 s, in which it hears the holder; weak hosts come 1.2 s later, and yield after 0.7 s.

Tests: lead sights_test.go and TestAProcessThatWasCutOff..., the latter seen failing without the guard.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -36,6 +36,9 @@
 	progressTopic = "progress"
 )
 
+// weakRanks is by how many ranks a weak process comes later, somewhat more than what strong ones need to notice a vacant place and claim it.
+const weakRanks = 20
+
 // weakShare is the part of a core below which a process leaves a vacant place to others first: a takeover reads and encodes every job.
 const weakShare = 0.3
 
@@ -130,7 +133,7 @@
 	_, _ = h.Write([]byte(s.Node))
 	a.rank = int(h.Sum32() % rankOf)
 	if s.CPUShare < weakShare {
-		a.rank += rankOf
+		a.rank += weakRanks
 	}
 	a.watch = lead.NewWatch(a.clock.Now())
 	a.peers = mesh.NewClient(&a.meters.peerBytes)
--- a/agent/claim.go
+++ b/agent/claim.go
@@ -21,24 +21,33 @@
 	if !vacantOrUnknown {
 		return false
 	}
-	seen := make(chan bool, len(members))
+	said := make(chan lead.Sight, len(members))
 	asked := 0
 	for _, m := range members {
 		if m == a.address || m == holder.Address {
 			continue
 		}
 		asked++
-		go func() {
-			reply, err := a.peers.Sight(m, mesh.Sight{Epoch: holder.Epoch}, lead.BeatWait)
-			seen <- err == nil && (reply.Epoch > holder.Epoch || (reply.AgoMs >= 0 && time.Duration(reply.AgoMs)*time.Millisecond < lead.SightFresh))
-		}()
+		go func() { said <- a.sightOf(m, holder) }()
 	}
-	for range asked {
-		if <-seen {
-			return true
-		}
+	sights := lead.NewSights(asked)
+	for !sights.Decided() {
+		sights = sights.With(<-said)
+	}
+	return sights.Seen()
+}
+
+// sightOf asks one process for the holder.
+func (a *Agent) sightOf(member string, holder lead.Holder) lead.Sight {
+	reply, err := a.peers.Sight(member, mesh.Sight{Epoch: holder.Epoch}, lead.BeatWait)
+	switch {
+	case err != nil:
+		return lead.Unanswered
+	case reply.Epoch > holder.Epoch || (reply.AgoMs >= 0 && time.Duration(reply.AgoMs)*time.Millisecond < lead.SightFresh):
+		return lead.Seen
+	default:
+		return lead.Unseen
 	}
-	return false
 }
 
 // claim writes a claim on the condition that nobody else did, and holds if it succeeds.
--- a/agent/config.go
+++ b/agent/config.go
@@ -118,6 +118,9 @@
 func (a *Agent) storeAnswered() {
 	if a.storeAt.Swap(int64(a.clock.Now())) < 0 {
 		a.log.Info("store regained")
+		a.mu.Lock()
+		a.watch.Regained(a.clock.Now())
+		a.mu.Unlock()
 	}
 }
 
--- a/agent/follow.go
+++ b/agent/follow.go
@@ -28,11 +28,13 @@
 		}
 		a.mu.Lock()
 		holder, known := a.watch.Holder()
-		alive := a.watch.Alive(a.clock.Now()) && !a.watch.Troubled()
 		a.mu.Unlock()
 		if known && holder.Address != a.address {
 			a.beat(holder)
 		}
+		a.mu.Lock()
+		alive := a.watch.Alive(a.clock.Now()) && !a.watch.Troubled()
+		a.mu.Unlock()
 		if !alive {
 			a.lookForHolder(ctx)
 		}
--- a/agent/standing.go
+++ b/agent/standing.go
@@ -37,8 +37,8 @@
 // strongerBy is how much more of a core another process must have for the holder to yield to it; a takeover costs about half a second.
 const strongerBy = 1.5
 
-// yieldAfter is how often the holder looks for a stronger process, and how long after a takeover, when all followers have been heard.
-const yieldAfter = 1500 * time.Millisecond
+// yieldAfter is how often the holder looks for a stronger process, about three heartbeats and a takeover.
+const yieldAfter = 700 * time.Millisecond
 
 // successor returns the strongest process that follows this one lately, if it is much stronger or this one stops.
 func (h *Holder) successor() string {
--- a/lead/lead.go
+++ b/lead/lead.go
@@ -45,6 +45,8 @@
 	SightFresh = 500 * time.Millisecond
 	// TroubledFor is how long this process has to reach the store while the holder does not before it claims: two heartbeats, so that the store's return does not change the holder.
 	TroubledFor = 500 * time.Millisecond
+	// RegainedFor is how long this process has to reach the store again before it claims the place of a holder that it does not hear: two heartbeats, since it may have been the one that was cut off.
+	RegainedFor = 500 * time.Millisecond
 	// Stagger is the delay by which processes claim one after the other, a little more than a claim takes.
 	Stagger = 60 * time.Millisecond
 )
@@ -75,6 +77,8 @@
 	// troubledAt is when this process first reached the store while the holder said that it could not, 0 while that is not so.
 	troubledAt time.Duration
 	since      time.Duration
+	// regainedAt is when this process reached the store again, 0 if it never lost it.
+	regainedAt time.Duration
 	// changedAt is when the holder changed last, and changes how often it did so in quick succession.
 	changedAt time.Duration
 	changes   int
@@ -123,6 +127,9 @@
 	}
 }
 
+// Regained notes that this process reaches the store again after it did not.
+func (w *Watch) Regained(now time.Duration) { w.regainedAt = now }
+
 // Troubled reports whether the holder says that it cannot write to the store.
 func (w *Watch) Troubled() bool { return w.known && w.troubled }
 
@@ -163,6 +170,8 @@
 		return now-w.vacantAt >= stagger
 	case w.troubled && w.troubledAt > 0:
 		return now-w.troubledAt >= TroubledFor+stagger
+	case w.regainedAt > 0 && now-w.regainedAt < RegainedFor:
+		return false
 	default:
 		return now-w.heardAt >= w.patience()+stagger
 	}
--- a/lead/lead_test.go
+++ b/lead/lead_test.go
@@ -88,3 +88,15 @@
 	w.Follow(Holder{Epoch: 5}, 30*time.Second) // calm before
 	is.True(w.ShouldClaim(0, 30*time.Second+Patience))
 }
+
+// TestAProcessThatWasCutOffHearsTheHolderFirst checks that a process does not take a living holder's place as soon as its own cut ends.
+func TestAProcessThatWasCutOffHearsTheHolderFirst(t *testing.T) {
+	is := is.New(t)
+	w := watching(time.Second)
+	w.Regained(6 * time.Second)
+	is.True(!w.ShouldClaim(0, 6*time.Second))
+	is.True(!w.ShouldClaim(0, 6*time.Second+RegainedFor-1))
+	is.True(w.ShouldClaim(0, 6*time.Second+RegainedFor))
+	w.Vacant(3, 6*time.Second)
+	is.True(w.ShouldClaim(0, 6*time.Second)) // the holder's own word needs no patience
+}
--- /dev/null
+++ b/lead/sights_test.go
@@ -0,0 +1,35 @@
+package lead
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// TestMostThatHaveNotSeenTheHolderDecide checks that processes that cannot be reached do not delay a takeover, and that one sight prevents it.
+func TestMostThatHaveNotSeenTheHolderDecide(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		asked   int
+		sights  []Sight
+		decided bool
+		seen    bool
+	}{
+		{name: "nobody to ask", asked: 0, decided: true},
+		{name: "one of two has not", asked: 2, sights: []Sight{Unseen}},
+		{name: "two of three have not", asked: 3, sights: []Sight{Unseen, Unseen}, decided: true},
+		{name: "silent ones do not count as most", asked: 3, sights: []Sight{Unanswered, Unanswered}},
+		{name: "all are silent", asked: 2, sights: []Sight{Unanswered, Unanswered}, decided: true},
+		{name: "one has", asked: 9, sights: []Sight{Unseen, Seen}, decided: true, seen: true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			s := NewSights(c.asked)
+			for _, one := range c.sights {
+				s = s.With(one)
+			}
+			is.Equal(s.Decided(), c.decided)
+			is.Equal(s.Seen(), c.seen)
+		})
+	}
+}
