Waves: hosts with most serving items go first, and items about to be at work are watched closely

Lines now name the step whose budget is used up: steps of 28 items, of which two may be away, were evacuated from hosts with seven items each, last of all, and each item was known to be at work only by the next listing, up to 1.2 s later.

Change: hosts go by their number of serving items; a target on which a serving item of a budgeted step starts is looked at each 0.2 s, for 3 s at most; waveWaits names the step and what of it is away.

--- a/agent/driver.go
+++ b/agent/driver.go
@@ -16,6 +16,8 @@
 const (
 	// renewPoll is how long a renewal waits for an end; three of them fit into a lease.
 	renewPoll = 1200 * time.Millisecond
+	// renewHurry is how long a renewal waits while a serving item is about to be at work, a fraction of the time that its start takes.
+	renewHurry = 200 * time.Millisecond
 	// renewGap is the least time between two renewals, in which more ends gather.
 	renewGap = 120 * time.Millisecond
 	// orderWait bounds an order's answer, which takes a few milliseconds.
@@ -113,8 +115,11 @@
 			continue
 		}
 		poll := renewPoll
-		if r.LeaseMs == 0 {
+		switch {
+		case r.LeaseMs == 0:
 			poll = 0
+		case r.Hurry:
+			poll = renewHurry
 		}
 		l, err := d.client.Renew(r.LeaseMs, h.table.Token(), r.Acknowledged, poll, poll+orderWait)
 		h.agent.meters.looks.Inc(1)
--- a/sched/renew.go
+++ b/sched/renew.go
@@ -11,6 +11,8 @@
 	// LeaseMs is 0 where the target's clock is not known yet.
 	LeaseMs      int64
 	Acknowledged int64
+	// Hurry means that the answer should not wait long for an end: a serving item is about to be at work, and others of its step can leave only then.
+	Hurry bool
 	// Needed is false for a target that runs nothing and is known.
 	Needed bool
 }
@@ -25,9 +27,16 @@
 	if len(row.runs) > 0 {
 		r.LeaseMs = row.leaseUntil(now, lease)
 	}
+	for _, it := range row.runs {
+		s := it.step.spec
+		r.Hurry = r.Hurry || (s.Serving && s.MaxAway > 0 && !it.atWork && !it.stopping && now-it.orderedAt < hurryFor)
+	}
 	return r
 }
 
+// hurryFor is how long a serving item is looked after closely; most are at work within a second, and one that stands still should not cost looks for good.
+const hurryFor = 3 * time.Second
+
 // LeaseFor returns the time on a target's clock to which a start sent now holds.
 func (t *Table) LeaseFor(id work.TargetID, now time.Duration) int64 {
 	if row, ok := t.targets[id]; ok {
--- a/sched/script_test.go
+++ b/sched/script_test.go
@@ -130,7 +130,10 @@
 	case "silent":
 		p.table.Silent(work.TargetID(args[0]))
 	case "renew":
-		p.table.Renewal(work.TargetID(args[0]), p.now)
+		r := p.table.Renewal(work.TargetID(args[0]), p.now)
+		if want, ok := o["hurry"]; ok {
+			p.is.Equal(r.Hurry, want == "yes") // the answer should not wait
+		}
 	case "host":
 		p.hosts = append(p.hosts, work.Host{Name: args[0], Pool: o["pool"], State: work.HostState(o["state"]), Target: work.TargetID(o["target"]), Capacity: amount(o)})
 	case "hosts":
--- a/sched/wave.go
+++ b/sched/wave.go
@@ -1,6 +1,8 @@
 package sched
 
 import (
+	"fmt"
+	"slices"
 	"sort"
 	"time"
 
@@ -70,7 +72,7 @@
 // servingPart is the part of a wave's cap that hosts with serving items may take at once.
 const servingPart = 4
 
-// drainServing begins with hosts with serving items before all others and returns the room that is left: their items leave one after the other within their steps' budgets, which takes longest.
+// drainServing begins with hosts with serving items before all others and returns the room that is left: their items leave one after the other within their steps' budgets, which takes longest where there are most.
 func (t *Table) drainServing(w *waveRow, left []*host, room int, now time.Duration) int {
 	serving := max(w.Cap/servingPart, 1)
 	for _, h := range left {
@@ -78,7 +80,9 @@
 			serving--
 		}
 	}
-	for _, h := range left {
+	byItems := slices.Clone(left)
+	slices.SortStableFunc(byItems, func(a, b *host) int { return t.servingItems(b) - t.servingItems(a) })
+	for _, h := range byItems {
 		if room <= 0 || serving <= 0 {
 			return room
 		}
@@ -92,6 +96,19 @@
 	return room
 }
 
+// servingItems counts the serving items on a host.
+func (t *Table) servingItems(h *host) int {
+	n := 0
+	if row, ok := t.targets[h.Target]; ok {
+		for _, it := range row.runs {
+			if it.step.spec.Serving {
+				n++
+			}
+		}
+	}
+	return n
+}
+
 // free reports whether the host may be given an order.
 func (h *host) free(now time.Duration) bool {
 	return h.order == nil && h.State == work.HostUp && now >= h.notBefore
@@ -140,18 +157,18 @@
 	return w.since + time.Duration(w.DeadlineS*float64(time.Second)) - waveMargin
 }
 
-// budgetAllows reports whether the serving items on the host may be taken away now.
-func (t *Table) budgetAllows(h *host, now time.Duration) bool {
+// blockedBy returns a step whose budget does not allow its items on the host to be taken away now, or nil.
+func (t *Table) blockedBy(h *host, now time.Duration) *step {
 	row, ok := t.targets[h.Target]
 	if !ok {
-		return true
+		return nil
 	}
 	for _, it := range row.runs {
 		if it.step.spec.Serving && !t.mayTake(it.step, row, now) {
-			return false
+			return it.step
 		}
 	}
-	return true
+	return nil
 }
 
 // burden is what taking the host away costs: serving items most, then work under way.
@@ -236,8 +253,9 @@
 		return "holder's turn"
 	case h.order != nil && h.order.Wave == 0:
 		return orderName(h.order.HostOrder)
-	case !t.budgetAllows(h, now):
-		return "budget of serving items"
+	case t.blockedBy(h, now) != nil:
+		s := t.blockedBy(h, now)
+		return fmt.Sprintf("budget of %s: %d of %d away, %d waiting", s.name(), t.away(s), s.spec.MaxAway, s.waiting)
 	case h.order != nil:
 		return "running items"
 	default:
