Hosts of a kind move to pools that lack it; regular calls and configurations fit the link

Now members come each 1.5 s, lists take a tenth of the link, renewals 0.3, and configurations are relayed to all only where they fit.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -59,6 +59,7 @@
 	address     string
 	boot        string
 	rank        int
+	link        link
 
 	config   atomic.Pointer[configState]
 	stopping atomic.Bool
@@ -78,8 +79,11 @@
 	watch   *lead.Watch
 	holder  *Holder
 	members map[string]member
-	wave    map[int64]work.Wave
-	waveAt  map[int64]time.Duration
+	// membersOf is the holder that was asked for the members last, at membersAt.
+	membersOf int64
+	membersAt time.Duration
+	wave      map[int64]work.Wave
+	waveAt    map[int64]time.Duration
 }
 
 // member is another process as it was heard last.
@@ -128,6 +132,7 @@
 	if a.meters == nil {
 		a.meters = newMeters(tally.NoopScope, nil)
 	}
+	a.link = newLink(s.LinkMbps)
 	a.address = net.JoinHostPort(s.IP, strconv.Itoa(s.Ports[0]))
 	h := fnv.New32a()
 	_, _ = h.Write([]byte(s.Node))
--- a/agent/driver.go
+++ b/agent/driver.go
@@ -18,8 +18,8 @@
 	renewPoll = 1200 * time.Millisecond
 	// renewHurry is how long a renewal waits while a serving item is about to be at work, a fraction of the time that its start takes.
 	renewHurry = 200 * time.Millisecond
-	// renewGap is the least time between two renewals, in which more ends gather.
-	renewGap = 120 * time.Millisecond
+	// renewGapLeast is the least time between two renewals, in which more ends gather.
+	renewGapLeast = 120 * time.Millisecond
 	// orderWait bounds an order's answer, which takes a few milliseconds.
 	orderWait = 400 * time.Millisecond
 	// orderPause is the pause before an unanswered order is sent again.
@@ -146,7 +146,7 @@
 	case again && l.Answer == work.AnswerDone:
 		return true
 	default:
-		return d.pause(renewGap)
+		return d.pause(time.Duration(h.renewGap.Load()))
 	}
 }
 
--- a/agent/follow.go
+++ b/agent/follow.go
@@ -13,6 +13,9 @@
 	"lavenderwing.example/lavenderwing/peer"
 )
 
+// membersEvery is how often a follower asks for all members; each reply with them takes about forty bytes a process.
+const membersEvery = 1500 * time.Millisecond
+
 // memberKept is how long a process counts as a member after its last heartbeat.
 const memberKept = 5 * time.Second
 
@@ -56,7 +59,12 @@
 // beat tells the holder that this process follows it and takes its news.
 func (a *Agent) beat(holder lead.Holder) {
 	sent := a.clock.Now()
-	reply, err := a.peers.Beat(holder.Address, mesh.Beat{Node: a.settings.Node, Address: a.address, Epoch: holder.Epoch, Version: a.version(), Share: a.settings.CPUShare}, lead.BeatWait)
+	a.mu.Lock()
+	asks := a.membersOf != holder.Epoch || sent-a.membersAt >= membersEvery
+	a.mu.Unlock()
+	reply, err := a.peers.Beat(holder.Address, mesh.Beat{
+		Node: a.settings.Node, Address: a.address, Epoch: holder.Epoch, Version: a.version(), Share: a.settings.CPUShare, AsksMembers: asks, StoreLost: a.storeAt.Load() < 0,
+	}, lead.BeatWait)
 	now := a.clock.Now()
 	if err != nil {
 		a.log.Debug("holder missed a heartbeat", zap.Error(err), zap.Duration("after", now-sent))
@@ -73,6 +81,9 @@
 		a.watch.Vacant(holder.Epoch, now)
 		return
 	}
+	if asks {
+		a.membersOf, a.membersAt = holder.Epoch, now
+	}
 	for _, m := range reply.Members {
 		a.members[m.Address] = member{heardAt: now, share: m.Share}
 	}
--- a/agent/holder.go
+++ b/agent/holder.go
@@ -51,6 +51,8 @@
 	cancel      context.CancelCauseFunc
 	ctx         context.Context
 	wake        chan struct{}
+	// renewGap is the least time between two renewals of a target.
+	renewGap atomic.Int64
 
 	mu      sync.Mutex
 	table   *sched.Table
@@ -79,6 +81,7 @@
 			sched.WithHostRate(a.settings.Cloud.ActionsPerS)),
 		drivers: map[work.TargetID]*driver{}, waiting: map[work.JobID][]chan struct{}{},
 	}
+	h.renewGap.Store(int64(renewGapLeast))
 	h.progress = &stream{agent: a, topic: progressTopic, part: 0, epoch: epoch}
 	h.intake = newIntake(h, &stream{agent: a, topic: jobsTopic, part: holderPart, epoch: epoch})
 	h.cloud = platform.NewCloud(a.settings.Cloud.Address, a.settings.Node, hostCalls)
@@ -271,6 +274,7 @@
 
 // syncDrivers starts and ends the drivers of targets; the caller holds the lock.
 func (h *Holder) syncDrivers() {
+	h.renewGap.Store(int64(h.agent.link.renewGap(h.table.Busy())))
 	wanted := h.table.Targets()
 	keep := make(map[work.TargetID]bool, len(wanted))
 	for _, t := range wanted {
--- a/agent/hosts.go
+++ b/agent/hosts.go
@@ -13,9 +13,9 @@
 
 // Timing of calls to the cloud.
 const (
-	// hostsLook is how often the list of hosts is read, a fourth of the time that a move takes.
-	hostsLook = 350 * time.Millisecond
-	cloudWait = 2 * time.Second
+	// hostsLookLeast is how often the list of hosts is read at most, a fourth of the time that a move takes.
+	hostsLookLeast = 350 * time.Millisecond
+	cloudWait      = 2 * time.Second
 	// orderFresh is how old the record behind an order may be when it is sent, so that a holder that was paused sends nothing after its successor; successors wait longer than that.
 	orderFresh = 500 * time.Millisecond
 	// hostCalls is how many orders are sent at once; at a few milliseconds a call that is several hundred a second, more than the cloud takes.
@@ -44,7 +44,7 @@
 			h.mu.Unlock()
 			h.poke()
 		}
-		sleep(h.ctx, hostsLook)
+		sleep(h.ctx, h.agent.link.hostsLook(len(hosts)))
 	}
 }
 
--- a/agent/news.go
+++ b/agent/news.go
@@ -18,9 +18,10 @@
 	reply.Holds = h != nil && h.epoch == holder.Epoch
 	a.members[b.Address] = member{heardAt: now, share: b.Share}
 	a.members[a.address] = member{heardAt: now, share: a.settings.CPUShare}
-	for _, address := range a.memberList() {
+	for _, address := range a.membersFor(b) {
 		reply.Members = append(reply.Members, mesh.Member{Address: address, Share: a.members[address].share})
 	}
+	followers := len(a.members)
 	a.mu.Unlock()
 	if h != nil {
 		reply.Troubled = h.troubled()
@@ -28,12 +29,20 @@
 			h.depose("a follower knows a later holder")
 		}
 	}
-	if c := a.config.Load(); c != nil && c.config.Version > b.Version {
+	if c := a.config.Load(); c != nil && c.config.Version > b.Version && (b.StoreLost || a.link.fits(len(c.raw)*followers)) {
 		reply.Config = c.raw
 	}
 	return reply
 }
 
+// membersFor returns the members if a heartbeat asks for them; the caller holds the lock.
+func (a *Agent) membersFor(b mesh.Beat) []string {
+	if !b.AsksMembers {
+		return nil
+	}
+	return a.memberList()
+}
+
 // Sight answers a process that does not hear from the holder.
 func (a *Agent) Sight(s mesh.Sight) mesh.Seen {
 	a.mu.Lock()
--- a/mesh/message.go
+++ b/mesh/message.go
@@ -68,6 +68,10 @@
 	Version int64
 	// Share is the part of a core that the sender may use.
 	Share float64
+	// StoreLost means that the sender does not reach the store, so that it learns of configurations only from others.
+	StoreLost bool
+	// AsksMembers means that the reply should list the members.
+	AsksMembers bool
 }
 
 // Member is a process that follows the holder.
@@ -88,7 +92,7 @@
 	Troubled bool
 	// Config is the newest configuration as written, if it is newer than the sender's.
 	Config []byte
-	// Members are all processes that follow the holder.
+	// Members are all processes that follow the holder, if the sender asked for them.
 	Members []Member
 	// WallMs is the time of day at the asked process in milliseconds since 1970.
 	WallMs int64
--- a/sched/apportion.go
+++ b/sched/apportion.go
@@ -90,7 +90,7 @@
 		}
 		var found []*host
 		for _, h := range p.hosts {
-			if h.order == nil && t.mayOrder(h, now) && t.settled(h, p) && t.burden(h) < servingBurden {
+			if h.order == nil && t.mayOrder(h, now) && t.settled(h, p) && t.burden(h) < servingBurden && (p.standby || !p.lastOfKind(h)) {
 				found = append(found, h)
 			}
 		}
--- a/sched/job.go
+++ b/sched/job.go
@@ -62,6 +62,8 @@
 	waiting int
 	// noRoom means that no target had room for a waiting item when it was looked for last.
 	noRoom bool
+	// stuckSince is since when no target has had room, 0 if the last look found one.
+	stuckSince time.Duration
 	// permits is nil until advice is asked for.
 	permits *permits
 }
--- a/sched/plan.go
+++ b/sched/plan.go
@@ -24,7 +24,7 @@
 		// What is larger than an item that found no room finds none either.
 		pool, charge := s.job.queue.Pool, s.spec.Charge()
 		if least, ok := full[pool]; ok && least.Fits(charge) {
-			s.noRoom = true
+			s.foundNone(now)
 			continue
 		}
 		if t.place(s, now) {
@@ -205,7 +205,7 @@
 			if s.advised() {
 				t.seek(s, now)
 			}
-			s.noRoom = true
+			s.foundNone(now)
 			noRoom = !s.advised() && s.spec.Label == "" && s.spec.MaxPerTarget == 0
 			break
 		}
@@ -216,6 +216,12 @@
 		}
 		last = row
 	}
+	switch {
+	case !s.noRoom:
+		s.stuckSince = 0
+	case placed > 0:
+		s.stuckSince = now
+	}
 	if placed > 0 {
 		t.note("placed", s.name(), string(first.ID)+".."+string(last.ID),
 			fmt.Sprintf("items=%d waiting=%d slackMs=%d config=%d", placed, s.waiting, t.slack(s, now).Milliseconds(), t.config.Version))
@@ -240,6 +246,17 @@
 	return false
 }
 
+// foundNone notes that no target had room for an item of the step.
+func (s *step) foundNone(now time.Duration) {
+	s.noRoom = true
+	if s.stuckSince == 0 {
+		s.stuckSince = now
+	}
+}
+
+// foundRoom notes that the step's items are being placed.
+func (s *step) foundRoom() { s.noRoom, s.stuckSince = false, 0 }
+
 // placeGang starts all members of a gang at once or none.
 func (t *Table) placeGang(s *step, now time.Duration) {
 	if s.waiting < len(s.items) || !t.withinCap(s, len(s.items)) {
@@ -260,6 +277,7 @@
 		row := t.pick(it, now)
 		if row == nil {
 			t.unplace(chosen)
+			s.foundNone(now)
 			if s.advised() {
 				t.seek(s, now)
 			}
@@ -274,6 +292,7 @@
 		rows[n] = it.target
 	}
 	t.unplace(chosen)
+	s.foundRoom()
 	for n, it := range chosen {
 		it.run, it.checkpoint = run, checkpoint
 		t.start(it, rows[n], now)
--- a/sched/pools.go
+++ b/sched/pools.go
@@ -42,9 +42,9 @@
 	arrivingBefore float64
 	// surplusSince is when the pool began to have more hosts than it wants, 0 while it has not.
 	surplusSince time.Duration
-	hosts      []*host
-	coming     int
-	least      int
+	hosts        []*host
+	coming       int
+	least        int
 	// target is the number of hosts that the pool should have.
 	target int
 	// cores and memMB are the room of the pool's largest host.
@@ -53,6 +53,8 @@
 	// stuck is the amount of serving items that wait for want of room, and stuckCount their number.
 	stuck      int64
 	stuckCount int
+	// kinds are the labels that steps with work left ask for.
+	kinds []kindNeed
 	// loads holds what teams have at work, room the processors of usable targets and weights the sum of the weights of teams with work.
 	loads   []teamLoad
 	room    int64
@@ -75,7 +77,7 @@
 	}
 	t.explainPools(rows, now)
 	t.reclaim(rows)
-	givers := t.spareHosts(rows, now)
+	givers := t.moveKinds(rows, t.spareHosts(rows, now), now)
 	for {
 		p := shortest(rows)
 		if p == nil {
@@ -151,7 +153,7 @@
 	apart := map[string]int{}
 	for _, p := range t.pools {
 		p.waiting, p.running, p.serving, p.late = 0, 0, 0, 0
-		p.stuck, p.stuckCount = 0, 0
+		p.stuck, p.stuckCount, p.kinds = 0, 0, p.kinds[:0]
 	}
 	for _, j := range t.active {
 		for _, o := range j.occs {
@@ -239,6 +241,9 @@
 		p.stuck += int64(waiting) * cpu
 		p.stuckCount += waiting
 	}
+	if s.spec.Label != "" && j.active() && s.left > 0 {
+		p.needKind(s, waiting, cpu)
+	}
 	p.waiting += int64(waiting) * cpu
 	if waiting > 0 && !s.spec.Serving && t.slack(s, now) < 0 {
 		p.late += int64(waiting) * cpu
--- a/sched/script_test.go
+++ b/sched/script_test.go
@@ -121,7 +121,7 @@
 	case "target":
 		p.table.List(work.Target{
 			ID: work.TargetID(args[0]), Pool: o["pool"], Address: "address-" + args[0], Capacity: amount(o),
-			Labels: []string{"kind", o["rack"]}, Draining: o["draining"] != "", BornMs: int64(number(o["born"])),
+			Labels: []string{o["label"], o["rack"]}, Draining: o["draining"] != "", BornMs: int64(number(o["born"])),
 		}, p.now)
 	case "unlist":
 		p.table.Unlist(work.TargetID(args[0]))
@@ -135,7 +135,7 @@
 			p.is.Equal(r.Hurry, want == "yes") // the answer should not wait
 		}
 	case "host":
-		p.hosts = append(p.hosts, work.Host{Name: args[0], Pool: o["pool"], State: work.HostState(o["state"]), Target: work.TargetID(o["target"]), Capacity: amount(o)})
+		p.hosts = append(p.hosts, work.Host{Name: args[0], Pool: o["pool"], State: work.HostState(o["state"]), Target: work.TargetID(o["target"]), Capacity: amount(o), Labels: []string{o["label"]}})
 	case "hosts":
 		p.table.ListHosts(p.hosts, p.now, p.now)
 		p.hosts = nil
--- a/sched/table.go
+++ b/sched/table.go
@@ -298,6 +298,17 @@
 	return list
 }
 
+// Busy counts the targets that run something, whose leases are to be renewed.
+func (t *Table) Busy() int {
+	n := 0
+	for _, row := range t.order {
+		if len(row.runs) > 0 {
+			n++
+		}
+	}
+	return n
+}
+
 func (t *Table) target(id work.TargetID) *target {
 	if row, ok := t.targets[id]; ok {
 		return row
--- a/work/settings.go
+++ b/work/settings.go
@@ -24,6 +24,8 @@
 	Tolerance   Tolerance
 	MemoryMB    int
 	CPUShare    float64
+	// LinkMbps is the host's link in megabits a second, 0 if it is not known.
+	LinkMbps float64
 }
 
 // Tolerance is how much may be lost at once.
