--- a/sched/pools.go
+++ b/sched/pools.go
@@ -119,14 +119,14 @@
 	}
 }
 
-// arrive adds a job's work to what comes.
-func (p *poolRow) arrive(j *work.Job, now time.Duration) {
+// arrive adds a job's work to what comes, by the run times that its queue has shown.
+func (p *poolRow) arrive(j *work.Job, past *pastRuns, now time.Duration) {
 	for i := range j.Steps {
 		s := &j.Steps[i]
 		if s.Serving {
 			continue
 		}
-		p.arriving = p.arrivingNow(now) + float64(int64(s.Count)*s.Charge().CPU*s.EstimateMs)/float64(arrivalWindow.Milliseconds())
+		p.arriving = p.arrivingNow(now) + float64(int64(s.Count)*p.size(s.Charge()))*past.expectMs(s.EstimateMs)/float64(arrivalWindow.Milliseconds())
 		p.arrivingAt = now
 	}
 }
--- a/sched/table.go
+++ b/sched/table.go
@@ -143,7 +143,7 @@
 		return false
 	}
 	j := t.add(rec, now)
-	t.pool(j.queue.Pool).arrive(rec, now)
+	t.pool(j.queue.Pool).arrive(rec, t.past(j.queue.Name), now)
 	return true
 }
 
