--- a/agent/ask.go
+++ b/agent/ask.go
@@ -73,6 +73,11 @@
 		return mesh.Reply{Outcome: mesh.Answered}
 	}
 	a.storeFailed("job written past the holder", err)
+	return notStored(maybe, err)
+}
+
+// notStored is the reply to a submission whose append past the holder failed: nothing is stored only if the holder cannot have got it and the store did nothing.
+func notStored(maybe bool, err error) mesh.Reply {
 	var rejected *platform.RejectedError
 	var unsentErr *platform.UnsentError
 	if !maybe && (errors.As(err, &rejected) || errors.As(err, &unsentErr)) {
--- a/agent/config.go
+++ b/agent/config.go
@@ -30,18 +30,18 @@
 		var facts platform.Facts
 		var err error
 		if next < 0 {
-			facts, err = a.store.OperatorNewest(storeWait)
+			facts, err = a.store.OperatorNewest(storeWait + a.link.page())
 		} else {
-			facts, err = a.store.OperatorRead(next, operatorPoll, operatorPoll+pollSlack)
+			facts, err = a.store.OperatorRead(next, operatorPoll, operatorPoll+pollSlack+a.link.page())
 		}
 		a.meters.storeReads.Inc(1)
-		if err != nil {
+		var expired *platform.ExpiredError
+		switch {
+		case errors.As(err, &expired):
+			next = -1
+			continue
+		case err != nil:
 			a.storeFailed("operators' topic", err)
-			var expired *platform.ExpiredError
-			if errors.As(err, &expired) {
-				next = -1
-				continue
-			}
 			sleep(ctx, retryPause)
 			continue
 		}
--- a/agent/follow.go
+++ b/agent/follow.go
@@ -125,7 +125,7 @@
 	should := a.watch.ShouldClaim(a.rank, a.clock.Now())
 	holder, known := a.watch.Holder()
 	a.mu.Unlock()
-	if !should || a.stopping.Load() || a.config.Load() == nil {
+	if !should || !a.mayHold() {
 		return
 	}
 	if known && holder.Address != a.address && !a.troubled() && a.seenElsewhere(holder) {
@@ -134,6 +134,9 @@
 	a.claim(ctx, end)
 }
 
+// mayHold reports whether this process is fit to hold: it goes on, and knows the pools.
+func (a *Agent) mayHold() bool { return !a.stopping.Load() && a.config.Load() != nil }
+
 func (a *Agent) troubled() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/agent/link.go
+++ b/agent/link.go
@@ -9,6 +9,8 @@
 	// renewBytes is about what a renewal and its answer take for a dozen runs, and hostBytes what a host takes in the list.
 	renewBytes = 1200
 	hostBytes  = 180
+	// pageBytes is the most that a page of the store's newest records takes, by the platform's pages.
+	pageBytes = 1 << 20
 	// renewGapMost keeps three renewals within a lease, however thin the link is.
 	renewGapMost = 1200 * time.Millisecond
 )
@@ -29,6 +31,9 @@
 // fits reports whether so many bytes leave within a quarter of a second, in which callers notice no delay.
 func (l link) fits(bytes int) bool { return l.bytesPerS <= 0 || float64(bytes) <= l.bytesPerS/4 }
 
+// page is how long a whole page of the store's records takes on the link; a call that is given up earlier would be repeated for good.
+func (l link) page() time.Duration { return l.interval(pageBytes, 1) }
+
 // renewGap is the least time between two renewals of a target while so many targets are renewed.
 func (l link) renewGap(targets int) time.Duration {
 	return min(max(l.interval(targets*renewBytes, renewShare), renewGapLeast), renewGapMost)
--- a/agent/link_test.go
+++ b/agent/link_test.go
@@ -27,6 +27,7 @@
 			is.Equal(l.renewGap(c.targets), c.gap)
 			is.Equal(l.hostsLook(c.targets), c.hosts)
 			is.True(l.fits(1000))
+			is.True(c.mbps == 0 || l.page().Seconds()*c.mbps*1e6/8 > pageBytes-1)
 			is.Equal(l.fits(10_000_000), c.mbps == 0 || c.mbps > 320)
 		})
 	}
--- a/agent/path_test.go
+++ b/agent/path_test.go
@@ -200,6 +200,11 @@
 			status, _ := s.call(atoi(args[0]), args[1], args[2], strings.TrimPrefix(args[3], "-"), body)
 			return status == atoi(args[4])
 		})
+	case "not": // NODE METHOD PATH KEY STATUS: one call is answered otherwise
+		status, body := s.call(atoi(args[0]), args[1], args[2], strings.TrimPrefix(args[3], "-"), nil)
+		if status == atoi(args[4]) {
+			s.Fatalf("%s: got %d %s", s.line, status, body)
+		}
 	case "refused": // NODE JOB: it is refused in the end; it must not run if every answer was a refusal
 		job := &work.Job{ID: id(args[1]), Spec: "run=10 cpu=1", Steps: []work.Step{{Count: 1, Ask: work.Amount{CPU: 1, MemMB: 1}, EstimateMs: 10}}}
 		s.platform.Ledger.Know(job)
--- a/agent/recover.go
+++ b/agent/recover.go
@@ -52,7 +52,7 @@
 
 func (h *Holder) newest(topic string, part int) ([]platform.Record, int64, error) {
 	for {
-		records, end, err := h.agent.store.Newest(topic, part, storeWait)
+		records, end, err := h.agent.store.Newest(topic, part, storeWait+h.agent.link.page())
 		h.agent.meters.storeReads.Inc(1)
 		if err == nil {
 			h.agent.storeAnswered()
--- a/agent/tails.go
+++ b/agent/tails.go
@@ -57,7 +57,7 @@
 }
 
 func (h *Holder) directAgain() ([]platform.Record, int64, error) {
-	return h.agent.store.Newest(jobsTopic, directPart, storeWait)
+	return h.agent.store.Newest(jobsTopic, directPart, storeWait+h.agent.link.page())
 }
 
 // applyDirect takes a job or a cancellation; the caller holds the lock.
@@ -88,7 +88,7 @@
 		var err error
 		whole := next < 0
 		if whole {
-			facts, err = h.agent.store.TargetsNewest(storeWait)
+			facts, err = h.agent.store.TargetsNewest(storeWait + h.agent.link.page())
 		} else {
 			facts, err = h.agent.store.TargetsRead(next, directPoll, directPoll+pollSlack)
 		}
