--- a/agent/guards_test.go
+++ b/agent/guards_test.go
@@ -1,14 +1,19 @@
 package agent
 
 import (
+	"errors"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/valyala/fasthttp"
 
 	"lavenderwing.example/lavenderwing/mesh"
 	"lavenderwing.example/lavenderwing/platform"
+	"lavenderwing.example/lavenderwing/platform/stage"
 	"lavenderwing.example/lavenderwing/sched"
+	"lavenderwing.example/lavenderwing/stand"
 	"lavenderwing.example/lavenderwing/work"
 )
 
@@ -75,3 +80,55 @@
 	is.True(!a.mayHold())
 	is.True(!a.isReady())
 }
+
+// TestAProcessEndsOnlyWhenTheBalancerKnows checks how long a stopping process serves on.
+func TestAProcessEndsOnlyWhenTheBalancerKnows(t *testing.T) {
+	is := is.New(t)
+	grace := 6 * time.Second
+	is.True(!mayEnd(0, 0, grace))                        // callers still come
+	is.True(!mayEnd(0, stopLinger-1, grace))             // the balancer may have missed one look
+	is.True(mayEnd(0, stopLinger, grace))                // nothing is under way
+	is.True(!mayEnd(1, stopLinger, grace))               // a request is
+	is.True(mayEnd(1, 6*time.Second*3/4, 6*time.Second)) // before it is killed
+}
+
+// TestAnOrderWhoseRecordIsOldIsNotSent checks that a holder that was held up sends no order for a host after its successor's.
+func TestAnOrderWhoseRecordIsOldIsNotSent(t *testing.T) {
+	is := is.New(t)
+	var calls atomic.Int64
+	server := &fasthttp.Server{Handler: func(*fasthttp.RequestCtx) { calls.Add(1) }}
+	l, err := listenTCP(stand.Loopback(1)[0])
+	is.NoErr(err)
+	go func() { _ = server.Serve(l) }()
+	defer func() { _ = server.Shutdown() }()
+	a, err := New(work.Settings{Node: "n", IP: "127.0.0.1", Ports: [2]int{1, 2}, Cloud: work.CloudLimits{Address: l.Addr().String()}})
+	is.NoErr(err)
+	h := newHolder(a, 1)
+	order := sched.HostOrder{Host: "m1", Pool: "p"}
+	h.orderHost(order, a.clock.Now()-2*orderFresh)
+	is.Equal(calls.Load(), int64(0)) // too old
+	h.orderHost(order, a.clock.Now())
+	is.Equal(calls.Load(), int64(1)) // fresh
+	h.depose("another process holds")
+	h.orderHost(order, a.clock.Now())
+	is.Equal(calls.Load(), int64(1)) // deposed
+}
+
+// TestASuccessorFencesBeforeItReads checks that nothing of an earlier holder is stored after its successor has read the records.
+func TestASuccessorFencesBeforeItReads(t *testing.T) {
+	is := is.New(t)
+	store, err := stage.NewStore(stand.Loopback(1)[0])
+	is.NoErr(err)
+	defer store.Close()
+	settings := work.Settings{Node: "n", IP: "127.0.0.1", Ports: [2]int{1, 2}, Store: work.StoreLimits{Address: store.Address}}
+	a, err := New(settings)
+	is.NoErr(err)
+	earlier, successor := newHolder(a, 1), newHolder(a, 2)
+	is.NoErr(earlier.recover())
+	is.NoErr(successor.recover())
+	for _, s := range []*stream{earlier.progress, earlier.intake.stream} {
+		_, err := s.append(earlier.ctx, []platform.Record{{Key: "1", Value: []byte("late")}})
+		var fenced *platform.FencedError
+		is.True(errors.As(err, &fenced)) // an earlier holder's record
+	}
+}
--- a/agent/stop.go
+++ b/agent/stop.go
@@ -26,9 +26,7 @@
 	}
 	for {
 		time.Sleep(stopLook)
-		took := a.clock.Now() - began
-		idle := a.busy.Load() == 0 && took >= stopLinger
-		if idle || took >= time.Duration(float64(a.settings.Bounds.Grace)*stopLongest) {
+		if mayEnd(a.busy.Load(), a.clock.Now()-began, a.settings.Bounds.Grace) {
 			break
 		}
 	}
@@ -37,6 +35,11 @@
 	}
 }
 
+// mayEnd reports whether a process that has been stopping for some time may end: the balancer knows and nothing is under way, or its grace is nearly over.
+func mayEnd(busy int64, took, grace time.Duration) bool {
+	return (busy == 0 && took >= stopLinger) || took >= time.Duration(float64(grace)*stopLongest)
+}
+
 func listenTCP(address string) (net.Listener, error) {
 	l, err := net.Listen("tcp4", address)
 	return l, trace.Wrap(err, "listening on %s", address)
--- a/sched/pools.go
+++ b/sched/pools.go
@@ -76,7 +76,7 @@
 		}
 	}
 	t.explainPools(rows, now)
-	t.reclaim(rows)
+	t.reclaim()
 	givers := t.moveKinds(rows, t.spareHosts(rows, now), now)
 	for {
 		p := shortest(rows)
@@ -102,7 +102,7 @@
 }
 
 // reclaim takes back hosts that were to leave a pool which has become short, as long as their orders have not been issued.
-func (t *Table) reclaim(rows []*poolRow) {
+func (t *Table) reclaim() {
 	for _, h := range t.hostOrder {
 		o := h.order
 		if o == nil || o.Wave > 0 || o.stage != stageDraining || o.repeated {
