--- a/agent/claim.go
+++ b/agent/claim.go
@@ -8,17 +8,19 @@
 
 	"lavenderwing.example/lavenderwing/lead"
 	"lavenderwing.example/lavenderwing/mesh"
+	"lavenderwing.example/lavenderwing/peer"
 	"lavenderwing.example/lavenderwing/platform"
 	"lavenderwing.example/lavenderwing/work"
 )
 
-// seenElsewhere asks other processes whether they still hear from the holder, so that a process that is cut off alone does not take its place.
-func (a *Agent) seenElsewhere(holder lead.Holder) bool {
+// heldElsewhere asks other processes whether they still hear from the holder, so that a process that is cut off alone does not take its place.
+func (a *Agent) heldElsewhere(holder lead.Holder) bool {
 	a.mu.Lock()
-	_, vacantOrUnknown := a.watch.Ago(holder.Epoch, a.clock.Now())
+	unheard := a.watch.Unheard(a.clock.Now())
+	vacant := a.watch.IsVacant()
 	members := a.memberList()
 	a.mu.Unlock()
-	if !vacantOrUnknown {
+	if vacant {
 		return false
 	}
 	said := make(chan lead.Sight, len(members))
@@ -34,13 +36,15 @@
 	for !sights.Decided() {
 		sights = sights.With(<-said)
 	}
-	return sights.Seen()
+	return sights.Seen() || (sights.Alone() && unheard < lead.AloneFor)
 }
 
 // sightOf asks one process for the holder.
 func (a *Agent) sightOf(member string, holder lead.Holder) lead.Sight {
 	reply, err := a.peers.Sight(member, mesh.Sight{Epoch: holder.Epoch}, lead.BeatWait)
 	switch {
+	case peer.Refused(err):
+		return lead.Gone
 	case err != nil:
 		return lead.Unanswered
 	case reply.Epoch > holder.Epoch || (reply.AgoMs >= 0 && time.Duration(reply.AgoMs)*time.Millisecond < lead.SightFresh):
--- a/agent/follow.go
+++ b/agent/follow.go
@@ -41,7 +41,10 @@
 		if !alive {
 			a.lookForHolder(ctx)
 		}
-		a.nap(ctx, lead.BeatEvery)
+		a.mu.Lock()
+		pause := a.watch.Pause(a.clock.Now())
+		a.mu.Unlock()
+		a.nap(ctx, pause)
 	}
 }
 
@@ -68,6 +71,11 @@
 	now := a.clock.Now()
 	if err != nil {
 		a.log.Debug("holder missed a heartbeat", zap.Error(err), zap.Duration("after", now-sent))
+		if peer.Refused(err) {
+			a.mu.Lock()
+			a.watch.Refused(holder.Epoch, now)
+			a.mu.Unlock()
+		}
 		return
 	}
 	a.configureRaw(reply.Config, "holder")
@@ -128,7 +136,7 @@
 	if !should || !a.mayHold() {
 		return
 	}
-	if known && holder.Address != a.address && !a.troubled() && a.seenElsewhere(holder) {
+	if known && holder.Address != a.address && !a.troubled() && a.heldElsewhere(holder) {
 		return
 	}
 	a.claim(ctx, end)
--- a/lead/lead.go
+++ b/lead/lead.go
@@ -45,6 +45,10 @@
 	SightFresh = 500 * time.Millisecond
 	// TroubledFor is how long this process has to reach the store while the holder does not before it claims: two heartbeats, so that the store's return does not change the holder.
 	TroubledFor = 500 * time.Millisecond
+	// RefusedFor is how long a holder's address must have refused connections before another process claims its place; it is most likely dead, but its heartbeats may just cross.
+	RefusedFor = 100 * time.Millisecond
+	// AloneFor is how long a process that hears no other one leaves the place to others, which claim it before if they hear each other.
+	AloneFor = 2500 * time.Millisecond
 	// RegainedFor is how long this process has to reach the store again before it claims the place of a holder that it does not hear: two heartbeats, since it may have been the one that was cut off.
 	RegainedFor = 500 * time.Millisecond
 	// Stagger is the delay by which processes claim one after the other, a little more than a claim takes.
@@ -58,6 +62,9 @@
 	mostChanges = 2
 )
 
+// refusedLooks is how long followers look more often after a refused connection, a few staggered claims long; a cut that refuses lasts longer.
+const refusedLooks = 500 * time.Millisecond
+
 // patience is how long the holder may be unheard; it grows with each change in quick succession.
 func (w *Watch) patience() time.Duration {
 	return Patience + time.Duration(min(w.changes, mostChanges))*Patience
@@ -77,6 +84,8 @@
 	// troubledAt is when this process first reached the store while the holder said that it could not, 0 while that is not so.
 	troubledAt time.Duration
 	since      time.Duration
+	// refusedAt is when the holder's address first refused a connection since it was heard, 0 if it has not.
+	refusedAt time.Duration
 	// regainedAt is when this process reached the store again, 0 if it never lost it.
 	regainedAt time.Duration
 	// changedAt is when the holder changed last, and changes how often it did so in quick succession.
@@ -102,7 +111,7 @@
 		w.changedAt = now
 	}
 	w.holder, w.known = h, true
-	w.heardAt, w.vacant = now, false
+	w.heardAt, w.refusedAt, w.vacant = now, 0, false
 	w.troubled, w.troubledAt = false, 0
 	return true
 }
@@ -115,7 +124,7 @@
 	if !w.known || epoch != w.holder.Epoch {
 		return
 	}
-	w.heardAt = now
+	w.heardAt, w.refusedAt = now, 0
 	if !troubled {
 		w.troubledAt = 0
 	}
@@ -130,6 +139,24 @@
 	}
 }
 
+// Refused notes that nobody listens at the address of the holder of the epoch.
+func (w *Watch) Refused(epoch int64, now time.Duration) {
+	if w.known && epoch == w.holder.Epoch && w.refusedAt == 0 {
+		w.refusedAt = now
+	}
+}
+
+// Pause returns how long to wait before the next look at the holder: shorter for a while after its address refused a connection.
+func (w *Watch) Pause(now time.Duration) time.Duration {
+	if w.refusedAt > 0 && now-w.refusedAt < refusedLooks {
+		return Stagger
+	}
+	return BeatEvery
+}
+
+// Unheard returns for how long the holder has not been heard.
+func (w *Watch) Unheard(now time.Duration) time.Duration { return now - w.heardAt }
+
 // Regained notes that this process reaches the store again after it did not.
 func (w *Watch) Regained(now time.Duration) { w.regainedAt = now }
 
@@ -150,9 +177,12 @@
 	w.vacant = vacant
 }
 
+// IsVacant reports whether no holder is known or the holder gave its place up.
+func (w *Watch) IsVacant() bool { return !w.known || w.vacant }
+
 // Ago returns how long ago the holder of the epoch was heard.
 func (w *Watch) Ago(epoch int64, now time.Duration) (time.Duration, bool) {
-	if !w.known || w.holder.Epoch != epoch || w.vacant {
+	if !w.known || w.holder.Epoch != epoch || w.vacant || w.refusedAt > 0 {
 		return 0, false
 	}
 	return now - w.heardAt, true
@@ -160,7 +190,7 @@
 
 // Alive reports whether the holder was heard within the patience.
 func (w *Watch) Alive(now time.Duration) bool {
-	return w.known && !w.vacant && now-w.heardAt < w.patience()
+	return w.known && !w.vacant && w.refusedAt == 0 && now-w.heardAt < w.patience()
 }
 
 // ShouldClaim reports whether a process of the given rank should try to become the holder.
@@ -175,6 +205,8 @@
 		return now-w.troubledAt >= TroubledFor+stagger
 	case w.regainedAt > 0 && now-w.regainedAt < RegainedFor:
 		return false
+	case w.refusedAt > 0:
+		return now-w.refusedAt >= RefusedFor+stagger
 	default:
 		return now-w.heardAt >= w.patience()+stagger
 	}
--- a/lead/lead_test.go
+++ b/lead/lead_test.go
@@ -112,3 +112,24 @@
 	is.True(!w.ShouldClaim(0, 12*time.Second+Patience)) // a silent holder was replaced in quick succession
 	is.True(w.ShouldClaim(0, 12*time.Second+2*Patience))
 }
+
+// TestADeadHolderIsReplacedSooner checks that a refused connection shortens the wait, until the holder is heard again.
+func TestADeadHolderIsReplacedSooner(t *testing.T) {
+	is := is.New(t)
+	w := watching(time.Second)
+	w.Refused(2, time.Second) // an earlier holder's address
+	is.True(w.Alive(time.Second))
+	is.Equal(w.Pause(time.Second), BeatEvery)
+	w.Refused(3, time.Second)
+	is.True(!w.Alive(time.Second))
+	is.Equal(w.Pause(time.Second), Stagger)
+	is.Equal(w.Pause(2*time.Second), BeatEvery)
+	is.True(!w.ShouldClaim(0, time.Second+RefusedFor-1))
+	is.True(w.ShouldClaim(0, time.Second+RefusedFor))
+	is.True(!w.ShouldClaim(1, time.Second+RefusedFor))
+	_, seen := w.Ago(3, time.Second)
+	is.True(!seen) // is no sight of it for others
+	w.Heard(3, false, time.Second)
+	is.True(w.Alive(time.Second))
+	is.True(!w.ShouldClaim(0, time.Second+RefusedFor))
+}
--- a/lead/sights_test.go
+++ b/lead/sights_test.go
@@ -14,12 +14,16 @@
 		sights  []Sight
 		decided bool
 		seen    bool
+		alone   bool
 	}{
 		{name: "nobody to ask", asked: 0, decided: true},
 		{name: "one of two has not", asked: 2, sights: []Sight{Unseen}},
 		{name: "two of three have not", asked: 3, sights: []Sight{Unseen, Unseen}, decided: true},
-		{name: "silent ones do not count as most", asked: 3, sights: []Sight{Unanswered, Unanswered}},
-		{name: "all are silent", asked: 2, sights: []Sight{Unanswered, Unanswered}, decided: true},
+		{name: "silent ones do not count as most", asked: 3, sights: []Sight{Unanswered, Unanswered}, alone: true},
+		{name: "all are silent", asked: 2, sights: []Sight{Unanswered, Unanswered}, decided: true, alone: true},
+		{name: "all are gone", asked: 2, sights: []Sight{Gone, Gone}, decided: true},
+		{name: "one is gone, one silent", asked: 2, sights: []Sight{Gone, Unanswered}, decided: true, alone: true},
+		{name: "those that are gone have no word", asked: 4, sights: []Sight{Gone, Gone, Unseen, Unseen}, decided: true},
 		{name: "one has", asked: 9, sights: []Sight{Unseen, Seen}, decided: true, seen: true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -30,6 +34,7 @@
 			}
 			is.Equal(s.Decided(), c.decided)
 			is.Equal(s.Seen(), c.seen)
+			is.Equal(s.Alone(), c.alone)
 		})
 	}
 }
--- a/peer/errors.go
+++ b/peer/errors.go
@@ -1,6 +1,10 @@
 package peer
 
-import "fmt"
+import (
+	"errors"
+	"fmt"
+	"syscall"
+)
 
 // SilentError reports a peer that did not answer in time.
 type SilentError struct {
@@ -23,3 +27,6 @@
 
 // Unwrap returns the cause.
 func (e *UnreachableError) Unwrap() error { return e.Cause }
+
+// Refused reports whether a call failed because nobody listens at the peer's address: its process is gone, or a cut answers in its place.
+func Refused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
