A lost answer of the store costs 0.15 s instead of 0.8 s

Cause: each try of an append waited 0.8 s for its answer. A repeat of the same number is never written twice and gets the first one's answer.

Change: the first try waits four times the usual answer, 0.15 s at least; each further one twice as long, up to 0.8 s as before.

Test: TestALostAnswerCostsLittle.

--- a/agent/guards_test.go
+++ b/agent/guards_test.go
@@ -132,3 +132,20 @@
 		is.True(errors.As(err, &fenced)) // an earlier holder's record
 	}
 }
+
+// TestALostAnswerCostsLittle checks how long appends wait for answers: as the store usually answers, longer with each try.
+func TestALostAnswerCostsLittle(t *testing.T) {
+	is := is.New(t)
+	s := &stream{}
+	is.Equal(s.tryWait(0), appendWaitLeast)
+	is.Equal(s.tryWait(1), 2*appendWaitLeast)
+	is.Equal(s.tryWait(9), appendWaitMost)
+	for range 20 {
+		s.answered(8 * time.Millisecond)
+	}
+	is.Equal(s.tryWait(0), appendWaitLeast)
+	for range 20 {
+		s.answered(400 * time.Millisecond) // a slow store
+	}
+	is.Equal(s.tryWait(0), appendWaitMost)
+}
--- a/agent/stream.go
+++ b/agent/stream.go
@@ -12,8 +12,16 @@
 // producerName is the one producer of the holder's partitions; epochs tell the holders apart.
 const producerName = "holder"
 
-// appendWait bounds one try of an append; a repeat of the same number is never written twice.
-const appendWait = 800 * time.Millisecond
+// Waits for the answer to one try of an append. A repeat of the same number is never written twice and gets the first one's answer, so that a lost answer costs little more than the usual time of one.
+const (
+	// appendWaitLeast is many times what an undisturbed store takes, appendWaitMost twice what a slow one does.
+	appendWaitLeast = 150 * time.Millisecond
+	appendWaitMost  = 800 * time.Millisecond
+	// appendPatience is how many times the usual answer time the first try waits.
+	appendPatience = 4
+	// answerRate is the weight of the newest answer in the usual time.
+	answerRate = 0.3
+)
 
 // appendPause is the pause before an append is tried again.
 const appendPause = 60 * time.Millisecond
@@ -25,6 +33,8 @@
 	part  int
 	epoch int64
 	seq   int64
+	// usual is the usual time of an answer, in nanoseconds.
+	usual float64
 	// failingSince is when the first of the present row of failed tries began, 0 while all is well.
 	failingSince atomic.Int64
 	// confirmedAt is when the store last took an append of this epoch.
@@ -39,12 +49,13 @@
 
 // append writes the records and returns the offset of the first; it tries until the outcome is certain or the context ends.
 func (s *stream) append(ctx context.Context, records []platform.Record) (int64, error) {
-	for {
+	for try := 0; ; try++ {
 		began := s.agent.clock.Now()
-		offset, err := s.agent.store.Append(s.topic, s.part, records, &platform.Producer{Name: producerName, Epoch: s.epoch, Seq: s.seq}, appendWait)
+		offset, err := s.agent.store.Append(s.topic, s.part, records, &platform.Producer{Name: producerName, Epoch: s.epoch, Seq: s.seq}, s.tryWait(try))
 		s.agent.meters.storeWrites.Inc(1)
 		if err == nil {
 			s.seq++
+			s.answered(s.agent.clock.Now() - began)
 			s.failingSince.Store(0)
 			s.confirmedAt.Store(int64(began))
 			s.agent.storeAnswered()
@@ -72,6 +83,15 @@
 	}
 }
 
+// answered notes how long an answer took.
+func (s *stream) answered(took time.Duration) { s.usual += answerRate * (float64(took) - s.usual) }
+
+// tryWait is how long a try waits for its answer: twice as long as the one before it.
+func (s *stream) tryWait(try int) time.Duration {
+	first := max(time.Duration(appendPatience*s.usual), appendWaitLeast)
+	return min(first<<min(try, 3), appendWaitMost)
+}
+
 // failing returns for how long appends have failed.
 func (s *stream) failing() time.Duration {
 	since := s.failingSince.Load()
