--- a/sched/script_test.go
+++ b/sched/script_test.go
@@ -148,7 +148,10 @@
 	case "job":
 		p.job(args, o)
 	case "cancel":
-		p.table.Cancel(jobID(args[0]), p.now)
+		waits := p.table.Cancel(jobID(args[0]), p.now)
+		if want, ok := o["waits"]; ok {
+			p.is.Equal(waits, want == "yes") // a record is still to be written
+		}
 	case "answer":
 		p.answer(args[0], o)
 	case "stopped":
@@ -299,6 +302,14 @@
 	p.table.HostAnswered(order, answers[o["answer"]], o["answer"] != "none", p.now)
 }
 
+// clock is what a target's clock shows in an answer, the script's time unless it says otherwise.
+func (p *player) clock(o map[string]string) int64 {
+	if o["clock"] != "" {
+		return int64(number(o["clock"]))
+	}
+	return p.now.Milliseconds()
+}
+
 func (p *player) answer(item string, o map[string]string) {
 	answers := map[string]work.Answer{
 		"done": work.AnswerDone, "fenced": work.AnswerFenced, "old": work.AnswerOld, "late": work.AnswerLate,
@@ -306,7 +317,7 @@
 	}
 	p.table.StartAnswered(StartOrder{
 		Target: work.TargetID(o["target"]), Start: work.Start{Item: p.item(item), Run: max(number(o["run"]), 1)},
-	}, work.Answered{Answer: answers[o["answer"]], ClockMs: p.now.Milliseconds()}, p.now)
+	}, work.Answered{Answer: answers[o["answer"]], ClockMs: p.clock(o)}, p.now)
 }
 
 // asked checks that the next question is about the step and names the targets.
