--- a/sched/script_test.go
+++ b/sched/script_test.go
@@ -134,6 +134,9 @@
 		if want, ok := o["hurry"]; ok {
 			p.is.Equal(r.Hurry, want == "yes") // the answer should not wait
 		}
+		if want, ok := o["needed"]; ok {
+			p.is.Equal(r.Needed, want == "yes") // the target is to be renewed
+		}
 	case "host":
 		p.hosts = append(p.hosts, work.Host{Name: args[0], Pool: o["pool"], State: work.HostState(o["state"]), Target: work.TargetID(o["target"]), Capacity: amount(o), Labels: []string{o["label"]}})
 	case "hosts":
@@ -152,6 +155,8 @@
 		if want, ok := o["waits"]; ok {
 			p.is.Equal(waits, want == "yes") // a record is still to be written
 		}
+	case "unanswered":
+		p.table.Unanswered(StartOrder{Target: work.TargetID(o["target"]), Start: work.Start{Item: p.item(args[0]), Run: number(o["run"])}}, p.now)
 	case "answer":
 		p.answer(args[0], o)
 	case "stopped":
