A takeover does not starve while callers submit past the holder

Two faults met. Since the first try of an append waited 0.15 s, less than a slow store takes (0.35 s), and each repeat queues behind the first in its partition: the holder seemed to have lost the store and was replaced. Then 42 processes wrote submissions past it one by one into one partition (3 ms each, 150 ms while slow), callers repeated what timed out, and the next holder's reads waited for the connections and the partition that these took: 6.5 and 11 s to recover, at times longer than until the next stop.

Change: the first try waits 0.5 s; submissions past the holder have connections of their own, four partitions by identifier, and a breaker that refuses at once with when to come back while the store fails them; a takeover reads its six partitions side by side and waits 2.5 s for each.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -31,7 +31,9 @@
 	// jobsTopic holds accepted jobs: those that the holder takes, and those that others write past it.
 	jobsTopic  = "jobs"
 	holderPart = 0
-	directPart = 1
+	// directFirst is the first of the partitions for jobs that are written past the holder, by their identifiers: an undisturbed partition takes three hundred appends a second.
+	directFirst = 1
+	directParts = 4
 	// progressTopic holds how far jobs and waves are; only the holder writes it.
 	progressTopic = "progress"
 )
@@ -51,9 +53,12 @@
 	log      *zap.Logger
 	clock    *clock
 	store    *platform.Store
-	peers    *mesh.Client
-	server   *peer.Server
-	meters   *meters
+	// direct has connections of its own, so that what callers submit past the holder does not keep a takeover from the store.
+	direct        *platform.Store
+	directBreaker breaker
+	peers         *mesh.Client
+	server        *peer.Server
+	meters        *meters
 	// metricsPort is 0 where no page is served.
 	metricsPort int
 	address     string
@@ -123,6 +128,7 @@
 	a := &Agent{
 		settings: s, loaded: s, log: zap.NewNop(), clock: newClock(), boot: uuid.NewString(),
 		store:   platform.NewStore(s.Store.Address),
+		direct:  platform.NewStore(s.Store.Address),
 		kick:    make(chan struct{}, 1),
 		members: map[string]member{}, wave: map[int64]work.Wave{}, waveAt: map[int64]time.Duration{},
 	}
--- a/agent/ask.go
+++ b/agent/ask.go
@@ -65,17 +65,30 @@
 
 // storeDirect writes a job for the next holder to find.
 func (a *Agent) storeDirect(r *request, maybe bool) mesh.Reply {
+	if pause := a.directBreaker.open(a.clock.Now()); pause > 0 {
+		return refuseDirect(maybe, pause)
+	}
 	records := []platform.Record{{Key: string(r.question.ID), Value: r.question.Job}}
-	_, err := a.store.Append(jobsTopic, directPart, records, nil, directWait)
+	_, err := a.direct.Append(jobsTopic, directFirst+directOf(r.question.ID), records, nil, directWait)
 	a.meters.storeWrites.Inc(1)
 	if err == nil {
+		a.directBreaker.succeeded()
 		a.storeAnswered()
 		return mesh.Reply{Outcome: mesh.Answered}
 	}
+	a.directBreaker.failed(a.clock.Now())
 	a.storeFailed("job written past the holder", err)
 	return notStored(maybe, err)
 }
 
+// refuseDirect is the reply to a submission that is not tried, because the last ones have failed.
+func refuseDirect(maybe bool, pause time.Duration) mesh.Reply {
+	if maybe {
+		return mesh.Reply{Outcome: mesh.Undecided, Cause: "no holder answers, and the store fails what is written past it"}
+	}
+	return mesh.Reply{Outcome: mesh.NotDone, RetryMs: max(pause.Milliseconds(), retryMs), Cause: "no holder answers, and the store fails what is written past it"}
+}
+
 // notStored is the reply to a submission whose append past the holder failed: nothing is stored only if the holder cannot have got it and the store did nothing.
 func notStored(maybe bool, err error) mesh.Reply {
 	var rejected *platform.RejectedError
--- a/agent/guards_test.go
+++ b/agent/guards_test.go
@@ -133,12 +133,12 @@
 	}
 }
 
-// TestALostAnswerCostsLittle checks how long appends wait for answers: as the store usually answers, longer with each try.
-func TestALostAnswerCostsLittle(t *testing.T) {
+// TestALostAnswerCostsLess checks how long appends wait for answers: as the store usually answers, longer with each try.
+func TestALostAnswerCostsLess(t *testing.T) {
 	is := is.New(t)
 	s := &stream{}
 	is.Equal(s.tryWait(0), appendWaitLeast)
-	is.Equal(s.tryWait(1), 2*appendWaitLeast)
+	is.Equal(s.tryWait(1), min(2*appendWaitLeast, appendWaitMost))
 	is.Equal(s.tryWait(9), appendWaitMost)
 	for range 20 {
 		s.answered(8 * time.Millisecond)
--- a/agent/holder.go
+++ b/agent/holder.go
@@ -62,8 +62,8 @@
 	driversAt  time.Duration
 	// waiting holds callers whose cancellation is being recorded.
 	waiting map[work.JobID][]chan struct{}
-	// directNext is the next offset of the jobs that were written past the holder.
-	directNext int64
+	// directNext holds the next offsets of the jobs that were written past the holder.
+	directNext [directParts]int64
 }
 
 // DeposedError ends a holder's epoch.
@@ -113,7 +113,9 @@
 	h.ready.Store(true)
 	h.agent.log.Info("recovered", zap.Int64("epoch", h.epoch), zap.Duration("took", h.agent.clock.Now()-began))
 	go h.intake.run()
-	go h.tailDirect()
+	for n := range directParts {
+		go h.tailDirect(n)
+	}
 	go h.tailTargets()
 	go h.confirm()
 	go h.listHosts()
--- a/agent/intake.go
+++ b/agent/intake.go
@@ -192,7 +192,7 @@
 		case fresh:
 			return state, mesh.Reply{Outcome: mesh.Unknown}, false
 		}
-		if err := h.readDirect(0); err != nil || h.cause() != nil {
+		if err := h.readDirect(directOf(q.ID), 0); err != nil || h.cause() != nil {
 			return state, mesh.Reply{Outcome: mesh.NotDone, RetryMs: retryMs, Cause: "store does not answer"}, false
 		}
 	}
--- a/agent/recover.go
+++ b/agent/recover.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"strings"
 	"time"
 
@@ -16,22 +17,24 @@
 
 // recover fences earlier holders and reads all that lasts.
 func (h *Holder) recover() error {
-	if err := h.progress.fence(h.ctx); err != nil {
+	err := together(
+		func() error { return h.progress.fence(h.ctx) },
+		func() error { return h.intake.stream.fence(h.ctx) },
+	)
+	if err != nil {
 		return trace.Wrap(err)
 	}
-	if err := h.intake.stream.fence(h.ctx); err != nil {
-		return trace.Wrap(err)
+	var progress, taken []platform.Record
+	var direct [directParts][]platform.Record
+	var next [directParts]int64
+	reads := []func() error{
+		func() (err error) { progress, _, err = h.newest(progressTopic, 0); return err },
+		func() (err error) { taken, _, err = h.newest(jobsTopic, holderPart); return err },
 	}
-	progress, _, err := h.newest(progressTopic, 0)
-	if err != nil {
-		return err
-	}
-	taken, _, err := h.newest(jobsTopic, holderPart)
-	if err != nil {
-		return err
+	for n := range directParts {
+		reads = append(reads, func() (err error) { direct[n], next[n], err = h.newest(jobsTopic, directFirst+n); return err })
 	}
-	direct, next, err := h.newest(jobsTopic, directPart)
-	if err != nil {
+	if err := together(reads...); err != nil {
 		return err
 	}
 	h.agent.mu.Lock()
@@ -43,16 +46,34 @@
 		h.table.Configure(c.config)
 	}
 	h.directNext = next
-	h.load(progress, taken, direct)
+	h.load(progress, taken, slices.Concat(direct[:]...))
 	for number, w := range waves {
 		h.table.AddWave(w, since[number])
 	}
 	return nil
 }
 
+// recoverWait bounds a read of a takeover; a partition answers late in which appends wait, for two seconds at most.
+const recoverWait = 2500 * time.Millisecond
+
+// together runs calls side by side, since a slow store takes long for each, and returns the first error.
+func together(calls ...func() error) error {
+	done := make(chan error, len(calls))
+	for _, c := range calls {
+		go func() { done <- c() }()
+	}
+	var first error
+	for range calls {
+		if err := <-done; err != nil && first == nil {
+			first = err
+		}
+	}
+	return first
+}
+
 func (h *Holder) newest(topic string, part int) ([]platform.Record, int64, error) {
 	for {
-		records, end, err := h.agent.store.Newest(topic, part, storeWait+h.agent.link.page())
+		records, end, err := h.agent.store.Newest(topic, part, recoverWait+h.agent.link.page())
 		h.agent.meters.storeReads.Inc(1)
 		if err == nil {
 			h.agent.storeAnswered()
--- a/agent/stream.go
+++ b/agent/stream.go
@@ -14,8 +14,8 @@
 
 // Waits for the answer to one try of an append. A repeat of the same number is never written twice and gets the first one's answer, so that a lost answer costs little more than the usual time of one.
 const (
-	// appendWaitLeast is many times what an undisturbed store takes, appendWaitMost twice what a slow one does.
-	appendWaitLeast = 150 * time.Millisecond
+	// appendWaitLeast is somewhat more than a slow store takes, which does repeats one after the other with all else; appendWaitMost is twice as long as it takes.
+	appendWaitLeast = 500 * time.Millisecond
 	appendWaitMost  = 800 * time.Millisecond
 	// appendPatience is how many times the usual answer time the first try waits.
 	appendPatience = 4
--- a/agent/tails.go
+++ b/agent/tails.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"hash/fnv"
 	"strings"
 	"time"
 
@@ -15,29 +16,36 @@
 // cancelPrefix begins the keys of cancellations that were written past the holder.
 const cancelPrefix = "cancel/"
 
-// tailDirect follows the jobs and cancellations that other processes wrote past the holder.
-func (h *Holder) tailDirect() {
+// directOf is the number of the partition in which a job is written past the holder.
+func directOf(id work.JobID) int {
+	f := fnv.New32a()
+	_, _ = f.Write([]byte(id))
+	return int(f.Sum32() % directParts)
+}
+
+// tailDirect follows the jobs and cancellations that other processes wrote past the holder into one partition.
+func (h *Holder) tailDirect(n int) {
 	for h.ctx.Err() == nil {
-		if err := h.readDirect(directPoll); err != nil {
+		if err := h.readDirect(n, directPoll); err != nil {
 			sleep(h.ctx, retryPause)
 		}
 	}
 }
 
-// readDirect applies what was written past the holder since the last read.
-func (h *Holder) readDirect(poll time.Duration) error {
+// readDirect applies what was written past the holder into one partition since the last read.
+func (h *Holder) readDirect(n int, poll time.Duration) error {
 	h.mu.Lock()
-	from := h.directNext
+	from := h.directNext[n]
 	h.mu.Unlock()
 	wait := storeWait
 	if poll > 0 {
 		wait = poll + pollSlack
 	}
-	tail, err := h.agent.store.Read(jobsTopic, directPart, from, poll, wait)
+	tail, err := h.agent.store.Read(jobsTopic, directFirst+n, from, poll, wait)
 	h.agent.meters.storeReads.Inc(1)
 	var expired *platform.ExpiredError
 	if errors.As(err, &expired) {
-		tail.Records, tail.Next, err = h.directAgain()
+		tail.Records, tail.Next, err = h.directAgain(n)
 	}
 	if err != nil {
 		h.agent.storeFailed("jobs written past the holder", err)
@@ -49,15 +57,15 @@
 	for _, r := range tail.Records {
 		h.applyDirect(r)
 	}
-	h.directNext = max(h.directNext, tail.Next)
+	h.directNext[n] = max(h.directNext[n], tail.Next)
 	if len(tail.Records) > 0 {
 		h.poke()
 	}
 	return nil
 }
 
-func (h *Holder) directAgain() ([]platform.Record, int64, error) {
-	return h.agent.store.Newest(jobsTopic, directPart, storeWait+h.agent.link.page())
+func (h *Holder) directAgain(n int) ([]platform.Record, int64, error) {
+	return h.agent.store.Newest(jobsTopic, directFirst+n, storeWait+h.agent.link.page())
 }
 
 // applyDirect takes a job or a cancellation; the caller holds the lock.
