--- a/agent/guards_test.go
+++ b/agent/guards_test.go
@@ -151,3 +151,21 @@
 	}
 	is.Equal(s.tryWait(0), appendWaitMost)
 }
+
+// TestAJobWrittenPastTheHolderIsNotUnknown checks that the holder reads what others have stored before it says that there is no such job.
+func TestAJobWrittenPastTheHolderIsNotUnknown(t *testing.T) {
+	is := is.New(t)
+	store, err := stage.NewStore(stand.Loopback(1)[0])
+	is.NoErr(err)
+	defer store.Close()
+	a, err := New(work.Settings{Node: "n", IP: "127.0.0.1", Ports: [2]int{1, 2}, Store: work.StoreLimits{Address: store.Address}})
+	is.NoErr(err)
+	h := newHolder(a, 1)
+	is.NoErr(h.recover())
+	job := &work.Job{ID: "0000000000000001", Queue: "q", Steps: []work.Step{{Count: 1, Ask: work.Amount{CPU: 1, MemMB: 1}}}}
+	value, err := work.Encode(job)
+	is.NoErr(err)
+	is.Equal(a.storeDirect(&request{question: mesh.Question{Kind: mesh.Submit, ID: job.ID, Job: value}}, false).Outcome, mesh.Answered)
+	is.Equal(h.status(mesh.Question{Kind: mesh.Status, ID: job.ID}).Outcome, mesh.Answered)
+	is.Equal(h.status(mesh.Question{Kind: mesh.Status, ID: "0000000000000002"}).Outcome, mesh.Unknown)
+}
