Calls to the platform reset their connection when they are given up

Cause: a call that timed out closed its connection in the ordinary way, and the kernel then goes on retransmitting what was written. Ruled out: a timeout longer than the successor's wait (2.5 s after the record against 4 s); retries (none are made); orders sent after the epoch ended (the order on the wire was written before the cut). Orders to the cloud go over lanes that ask for the permission (epoch, age of the record, suspension of the host) immediately before the write, and are reset when the epoch ends. The bound of an order is maxOrderAge + cloudTimeout = 2.5 s after its record. A permission that has ended, and a closed client, send nothing.

--- a/agent/holder.go
+++ b/agent/holder.go
@@ -35,15 +35,13 @@
 
 // Holder runs the scheduling for one epoch. The number of the epoch is also the fencing token of the holder's orders.
 type Holder struct {
-	agent    *Agent
-	epoch    int64
-	progress *fencedWriter
-	cloud    *platform.CloudClient
-	// hostOrderSlots bounds the concurrent orders to the cloud.
-	hostOrderSlots chan struct{}
-	advisor        *platform.AdvisorClient
-	adviceQueue    chan sched.AdviceRequest
-	intake         *intake
+	agent       *Agent
+	epoch       int64
+	progress    *fencedWriter
+	cloud       *platform.CloudClient
+	advisor     *platform.AdvisorClient
+	adviceQueue chan sched.AdviceRequest
+	intake      *intake
 	// resigned means that the holder ended its epoch itself, so that a successor may claim without waiting for a timeout.
 	resigned atomic.Bool
 	// confirmedAt is when the last successful read of the holder's record began. A read that finds a later claim ends the epoch.
@@ -87,7 +85,6 @@
 	h.progress = &fencedWriter{agent: a, topic: progressTopic, part: 0, epoch: epoch}
 	h.intake = newIntake(h, &fencedWriter{agent: a, topic: jobsTopic, part: holderPartition, epoch: epoch})
 	h.cloud = platform.NewCloudClient(a.settings.Cloud.Address, a.settings.Node, maxHostOrders)
-	h.hostOrderSlots = make(chan struct{}, maxHostOrders)
 	h.advisor = platform.NewAdvisorClient(a.settings.AdvisorAddress)
 	h.adviceQueue = make(chan sched.AdviceRequest, adviceQueueSize)
 	h.ctx, h.cancel = context.WithCancelCause(context.Background())
@@ -107,6 +104,8 @@
 func (h *Holder) run(ctx context.Context) error {
 	stop := context.AfterFunc(ctx, func() { h.depose("process context ended") })
 	defer stop()
+	// The cloud does not check fencing tokens, so no order may be under way once the epoch has ended.
+	context.AfterFunc(h.ctx, h.cloud.Close)
 	began := h.agent.clock.Now()
 	if err := h.recover(); err != nil {
 		h.cancel(err)
--- a/agent/hosts.go
+++ b/agent/hosts.go
@@ -15,8 +15,9 @@
 const (
 	// minHostsPause is the least pause after a read of the host list, a quarter of the time that a move takes.
 	minHostsPause = 350 * time.Millisecond
-	cloudTimeout  = 2 * time.Second
-	// maxOrderAge is how old the record of an order for a host may be when the order is sent. A successor waits longer than this before its first order, so that a paused holder cannot send an order after its successor's.
+	// cloudTimeout bounds a call to the cloud. When it ends, the connection is reset, so that an order that the network holds back cannot arrive later.
+	cloudTimeout = 2 * time.Second
+	// maxOrderAge is how old the record of an order for a host may be when the order is written to its connection. An order thus arrives within maxOrderAge+cloudTimeout of its record or never, and a successor waits longer than this before its first order.
 	maxOrderAge = 500 * time.Millisecond
 	// maxHostOrders bounds the concurrent orders to the cloud; at a few milliseconds a call this allows several hundred orders a second, more than the cloud accepts.
 	maxHostOrders = 8
@@ -49,27 +50,18 @@
 	}
 }
 
-// sendHostOrder sends an order to the cloud, unless the write of its record began, at flushedAt, longer than maxOrderAge ago.
+// sendHostOrder sends an order to the cloud, unless the epoch has ended or the write of the order's record began, at flushedAt, longer than maxOrderAge ago.
 func (h *Holder) sendHostOrder(o sched.HostOrder, flushedAt time.Duration) {
-	select {
-	case h.hostOrderSlots <- struct{}{}:
-		defer func() { <-h.hostOrderSlots }()
-	case <-h.ctx.Done():
-		return
-	}
-	h.agent.clock.AddSuspension()
-	if h.ctx.Err() != nil || h.agent.clock.Now()-flushedAt > maxOrderAge {
-		h.mu.Lock()
-		h.table.HostOrderNotSent(o, h.agent.clock.Now())
-		h.mu.Unlock()
-		return
+	permitted := func() bool {
+		h.agent.clock.AddSuspension()
+		return h.ctx.Err() == nil && h.agent.clock.Now()-flushedAt <= maxOrderAge
 	}
 	var status work.HostOrderStatus
 	var err error
 	if o.Wave > 0 {
-		status, err = h.cloud.MaintainHost(o.Host, o.Wave, h.epoch, cloudTimeout)
+		status, err = h.cloud.MaintainHost(o.Host, o.Wave, h.epoch, cloudTimeout, permitted)
 	} else {
-		status, err = h.cloud.MoveHost(o.Host, o.Pool, h.epoch, cloudTimeout)
+		status, err = h.cloud.MoveHost(o.Host, o.Pool, h.epoch, cloudTimeout, permitted)
 	}
 	h.agent.meters.cloudCalls.Inc(1)
 	var notSent *platform.UnsentError
