Handing over hosts no longer depends on the time of day

Found by reading the permission behind each order for a host. Ruled out: waiting from the takeover alone, which stops all moves for 4 s after each takeover, since nearly every host of the large site has been ordered once. Change: records of orders are dated by process time, which never jumps, and the replies to heartbeats carry it; a successor bounds an order's age by the last reply that it got. Orders of a holder that it never heard count from the takeover. Records of earlier builds look as if they were of the future and are waited for in the same way. A suspension is added before each step, so that a record is not dated too early.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -21,6 +21,7 @@
 	"lavenderwing.example/lavenderwing/mesh"
 	"lavenderwing.example/lavenderwing/peer"
 	"lavenderwing.example/lavenderwing/platform"
+	"lavenderwing.example/lavenderwing/sched"
 	"lavenderwing.example/lavenderwing/work"
 )
 
@@ -85,6 +86,8 @@
 	// mu guards the fields below.
 	mu       sync.Mutex
 	detector *elect.FailureDetector
+	// predecessor is what heartbeat replies have told of the clock of the holder that this process followed last.
+	predecessor sched.PredecessorClock
 	// active is the holder that runs in this process, nil while it follows.
 	active  *Holder
 	members map[string]member
--- a/agent/clock.go
+++ b/agent/clock.go
@@ -10,13 +10,15 @@
 // clock is a monotonic clock that includes the time for which the host was suspended.
 type clock struct {
 	start         time.Time
+	startWallMs   int64
 	startBootTime time.Duration
 	// suspended is the time by which the boot clock is ahead of the monotonic one.
 	suspended atomic.Int64
 }
 
 func newClock() *clock {
-	return &clock{start: time.Now(), startBootTime: bootTime()}
+	now := time.Now()
+	return &clock{start: now, startWallMs: now.UnixMilli(), startBootTime: bootTime()}
 }
 
 // bootTime returns the time since the host's start, including suspensions.
@@ -34,6 +36,9 @@
 	return time.Since(c.start) + time.Duration(c.suspended.Load()) + 1
 }
 
+// ProcessMs returns the process time: the time of day at the start of the process, in milliseconds since the Unix epoch, and the time since then. Unlike the time of day it never jumps.
+func (c *clock) ProcessMs() int64 { return c.startWallMs + c.Now().Milliseconds() }
+
 // AddSuspension adds the time for which the host was suspended since the last call, and returns it.
 func (c *clock) AddSuspension() time.Duration {
 	suspended := bootTime() - c.startBootTime - time.Since(c.start)
--- a/agent/handler.go
+++ b/agent/handler.go
@@ -1,16 +1,15 @@
 package agent
 
 import (
-	"time"
-
 	"lavenderwing.example/lavenderwing/elect"
 	"lavenderwing.example/lavenderwing/mesh"
 )
 
 // HandleHeartbeat answers a follower's heartbeat.
 func (a *Agent) HandleHeartbeat(heartbeat mesh.Heartbeat) mesh.HeartbeatReply {
+	a.clock.AddSuspension()
 	now := a.clock.Now()
-	reply := mesh.HeartbeatReply{WallMs: time.Now().UnixMilli()}
+	reply := mesh.HeartbeatReply{WallMs: a.clock.ProcessMs()}
 	a.mu.Lock()
 	h := a.active
 	holder, _ := a.detector.Holder()
--- a/agent/holder.go
+++ b/agent/holder.go
@@ -74,10 +74,12 @@
 // Error names the cause.
 func (e *DeposedError) Error() string { return "no longer the holder: " + e.Cause }
 
+// newHolder returns the holder of an epoch; the caller holds the agent's lock.
 func newHolder(a *Agent, epoch int64) *Holder {
 	h := &Holder{
 		agent: a, epoch: epoch, wake: make(chan struct{}, 1),
 		table: sched.New(a.settings.Bounds, sched.WithToken(epoch, a.clock.Now()), sched.WithNode(a.settings.Node),
+			sched.WithPredecessor(a.predecessor), sched.WithProcessOrigin(a.clock.startWallMs),
 			sched.WithHostRate(a.settings.Cloud.ActionsPerS)),
 		drivers: map[work.TargetID]*driver{}, cancelWaiters: map[work.JobID][]chan struct{}{},
 	}
@@ -204,6 +206,7 @@
 
 // step runs the planning of the table and passes on the resulting orders, events and requests for advice.
 func (h *Holder) step() {
+	h.agent.clock.AddSuspension()
 	now := h.agent.clock.Now()
 	h.mu.Lock()
 	h.table.SetWallClock(time.Now().UnixMilli(), now)
--- a/mesh/message.go
+++ b/mesh/message.go
@@ -94,7 +94,7 @@
 	Config []byte
 	// Members are the live members, if the sender asked for them.
 	Members []Member
-	// WallMs is the called process's wall clock, in milliseconds since the Unix epoch.
+	// WallMs is the called process's process time in milliseconds: the time of day at its start, and the time since then.
 	WallMs int64
 }
 
--- a/sched/flush.go
+++ b/sched/flush.go
@@ -82,7 +82,7 @@
 	b.HostOrders = t.issuedHostOrders
 	t.issuedHostOrders = nil
 	for _, o := range b.HostOrders {
-		value, err := work.Encode(&work.HostOrderRecord{Pool: o.Pool, Wave: o.Wave, FencingToken: t.token, Node: t.node, IssuedMs: t.wallMs(now)})
+		value, err := work.Encode(&work.HostOrderRecord{Pool: o.Pool, Wave: o.Wave, FencingToken: t.token, Node: t.node, IssuedMs: t.processMs(now)})
 		if err != nil {
 			return err
 		}
--- /dev/null
+++ b/sched/handover.go
@@ -0,0 +1,45 @@
+package sched
+
+import "time"
+
+// PredecessorClock relates the process time of an earlier holder to this process's clock. Orders for hosts are dated by process time, because the time of day of a host may jump by seconds.
+type PredecessorClock struct {
+	// Epoch is the earlier holder's epoch, 0 if none is known, and LearnedAt when this process learned of that epoch.
+	Epoch     int64
+	LearnedAt time.Duration
+	// ReadingMs is the earlier holder's process time in a reply that arrived at ReadAt.
+	ReadingMs int64
+	ReadAt    time.Duration
+}
+
+// minOrderAge returns a lower bound for the time since an earlier holder recorded an order for a host.
+func (c PredecessorClock) minOrderAge(token, issuedMs int64, now time.Duration) time.Duration {
+	switch {
+	case c.Epoch == 0 || token > c.Epoch:
+		return 0
+	case token < c.Epoch:
+		// The order was recorded before the next epoch was claimed.
+		return now - c.LearnedAt
+	default:
+		return time.Duration(c.ReadingMs-issuedMs)*time.Millisecond + now - c.ReadAt
+	}
+}
+
+// handoverDelay is how long a holder waits before it orders a host that another holder ordered last: until this time has passed since that order, or since the own takeover. It is the gap that the cloud requires between the orders of two holders, and a second for an order that the other holder sends late or that is in flight.
+func (t *Table) handoverDelay() time.Duration { return t.bounds.HostTakeoverDelay + time.Second }
+
+// mayOrder reports whether this holder may order the host now.
+func (t *Table) mayOrder(h *host, now time.Duration) bool {
+	if now < h.notBefore {
+		return false
+	}
+	last := h.lastIssued
+	if last.FencingToken == 0 || last.FencingToken == t.token || (last.Node == t.node && t.node != "") {
+		return true
+	}
+	age := max(now-t.tookOverAt, t.predecessor.minOrderAge(last.FencingToken, last.IssuedMs, now))
+	return age > t.handoverDelay()
+}
+
+// processMs returns the process time at the given time.
+func (t *Table) processMs(now time.Duration) int64 { return t.processOriginMs + now.Milliseconds() }
--- a/sched/host.go
+++ b/sched/host.go
@@ -148,21 +148,6 @@
 	}
 }
 
-// handoverDelay is how long a holder waits before it orders a host that another holder ordered last. The wait ends when this time has passed since that order or since the own takeover, whichever comes first. It is the gap that the cloud requires between the orders of two holders, and a second for an order that the other holder sends late or that is in flight.
-func (t *Table) handoverDelay() time.Duration { return t.bounds.HostTakeoverDelay + time.Second }
-
-// mayOrder reports whether this holder may order the host now.
-func (t *Table) mayOrder(h *host, now time.Duration) bool {
-	if now < h.notBefore {
-		return false
-	}
-	if h.lastIssued.FencingToken == 0 || h.lastIssued.FencingToken == t.token || (h.lastIssued.Node == t.node && t.node != "") {
-		return true
-	}
-	age := time.Duration(t.wallMs(now)-h.lastIssued.IssuedMs) * time.Millisecond
-	return now-t.tookOverAt > t.handoverDelay() || age > t.handoverDelay()
-}
-
 // issueOrder adds the host's order to the next batch; the order is sent once its record is written.
 func (t *Table) issueOrder(h *host, now time.Duration) {
 	h.order.stage, h.order.stageSince = stageRecording, now
--- a/sched/script_test.go
+++ b/sched/script_test.go
@@ -47,6 +47,8 @@
 	jobs  []*work.Job
 	token int64
 	node  string
+	// predecessor is what the next holder knows of an earlier holder's clock.
+	predecessor PredecessorClock
 
 	adviceRequests []AdviceRequest
 	batch          *Batch
@@ -76,8 +78,8 @@
 // restart replaces the table with that of a new holder, restored from the store, and discards the orders that have not been checked.
 func (sr *scriptRunner) restart() {
 	sr.token++
-	sr.table = New(testBounds(), WithToken(sr.token, sr.now), WithNode(sr.node))
-	sr.table.SetWallClock(1_700_000_000_000+sr.now.Milliseconds(), sr.now)
+	sr.table = New(testBounds(), WithToken(sr.token, sr.now), WithNode(sr.node), WithPredecessor(sr.predecessor), WithProcessOrigin(processOriginMs))
+	sr.setWallClock(0)
 	sr.table.Configure(sr.config)
 	for _, j := range sr.jobs {
 		var progress *work.JobProgress
@@ -100,6 +102,14 @@
 	sr.orders = nil
 }
 
+// processOriginMs is the process time of the scripts' holders at time 0.
+const processOriginMs = 1_600_000_000_000
+
+// setWallClock sets the time of day, which is ahead by the given time of what the scripts' callers believe.
+func (sr *scriptRunner) setWallClock(ahead time.Duration) {
+	sr.table.SetWallClock(1_700_000_000_000+(sr.now+ahead).Milliseconds(), sr.now)
+}
+
 // runCommand runs a line of a script. After each command, the orders that need no record are taken from the table and can be checked by want; the comments show the arguments, the optional ones in brackets.
 func (sr *scriptRunner) runCommand(command string, args []string) {
 	sr.Helper()
@@ -176,6 +186,13 @@
 	case "restart": // [node=NAME]: a new holder takes over
 		sr.node = o["node"]
 		sr.restart()
+	case "heartbeat": // epoch=N: the process that takes over next has heard the holder of the epoch
+		if epoch := int64(parseNumber(o["epoch"])); sr.predecessor.Epoch != epoch {
+			sr.predecessor = PredecessorClock{Epoch: epoch, LearnedAt: sr.now}
+		}
+		sr.predecessor.ReadingMs, sr.predecessor.ReadAt = processOriginMs+sr.now.Milliseconds(), sr.now
+	case "wallClock": // ahead=DURATION: the time of day jumps
+		sr.setWallClock(sr.parseDuration(o["ahead"]))
 	case "want": // ORDER: an order matches, see takeOrder
 		sr.takeOrder(strings.Join(args, " "))
 	case "wantNone": // no order is left
--- a/sched/table.go
+++ b/sched/table.go
@@ -78,6 +78,9 @@
 	teamLoadsMeasuredAt time.Duration
 	// poolsLoggedAt is when the pools' sizes were last logged.
 	poolsLoggedAt time.Duration
+	// predecessor is what this process knows of an earlier holder's clock, and processOriginMs its own process time at time 0 of its clock.
+	predecessor     PredecessorClock
+	processOriginMs int64
 	// wallOffset is the time of day at time 0 of the process's clock, in milliseconds since 1970.
 	wallOffset int64
 }
@@ -90,6 +93,12 @@
 	return func(t *Table) { t.token, t.tookOverAt = token, now }
 }
 
+// WithPredecessor sets what this process knows of an earlier holder's clock.
+func WithPredecessor(c PredecessorClock) Option { return func(t *Table) { t.predecessor = c } }
+
+// WithProcessOrigin sets the process time, in milliseconds since 1970, at time 0 of the process's clock.
+func WithProcessOrigin(ms int64) Option { return func(t *Table) { t.processOriginMs = ms } }
+
 // WithNode sets the name by which the cloud identifies the holder.
 func WithNode(node string) Option { return func(t *Table) { t.node = node } }
 
--- a/work/record.go
+++ b/work/record.go
@@ -59,7 +59,7 @@
 	Pool         string
 	Wave         int64
 	FencingToken int64
-	// Node issued the order at IssuedMs, in milliseconds since the Unix epoch.
+	// Node issued the order at IssuedMs of its process time: the time of day at the start of the process, in milliseconds since the Unix epoch, and the time since then.
 	Node     string
 	IssuedMs int64
 }
