entry: One claim of an identifier at a time, and refusals of forwarded requests

Cause: claims belong to a process, so of two requests with one identifier the second, on timing out, released by the process's name what the first one owned; a third request could run the work again. And a target's refusal of a forwarded request comes without an error, whose text the handler asked for: the process ended. Ruled out: releasing by request, which needs an owner in the stored record; a release that is not submitted, which would leave timed-out claims in force. Change: a process claims an identifier for one request at a time and answers others at once with an unknown outcome. The refusal's outcome is its text.

--- a/entry/claim.go
+++ b/entry/claim.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/valyala/fasthttp"
 
 	"lavenderwing.example/lavenderwing/claim"
@@ -20,6 +21,15 @@
 	if err := n.claims.Check(r.uuid, now); err != nil {
 		return err
 	}
+	// A claim belongs to the process, so only one request at a time may claim an identifier: otherwise a second request that times out would release what the first one owns.
+	if !n.beginClaiming(r.uuid) {
+		return &claim.AlreadyClaimedError{Request: r.uuid, Winner: n.writerID}
+	}
+	defer n.endClaiming(r.uuid)
+	// The claim of a request that ended meanwhile may have taken effect since the first check.
+	if err := n.claims.Check(r.uuid, now); err != nil {
+		return err
+	}
 	wait := min(r.queue.MaxWait(), r.deadline.Sub(now))
 	ctx, cancel := context.WithTimeout(context.Background(), wait)
 	defer cancel()
@@ -31,6 +41,23 @@
 	return err
 }
 
+// beginClaiming reports whether no other request of this process is claiming the identifier, and marks it as being claimed.
+func (n *Node) beginClaiming(id uuid.UUID) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.claiming[id] {
+		return false
+	}
+	n.claiming[id] = true
+	return true
+}
+
+func (n *Node) endClaiming(id uuid.UUID) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.claiming, id)
+}
+
 // claimRefusal returns the refusal of a request whose claim failed. The outcome is unknown if an earlier request with the same identifier may have run.
 func claimRefusal(err error) *refusal {
 	var taken *claim.AlreadyClaimedError
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -24,7 +24,12 @@
 	req.SetBodyRaw(ctx.Request.Body())
 	outcome, err := n.connPool(n.settings.ForwardAddress).Do(time.Now().Add(forwardTimeout), id, req, &ctx.Response)
 	if outcome != conns.Answered {
-		ctx.Error(err.Error(), fasthttp.StatusBadGateway)
+		// A refusal of the target comes without an error.
+		reason := outcome.String()
+		if err != nil {
+			reason = err.Error()
+		}
+		ctx.Error(reason, fasthttp.StatusBadGateway)
 		return
 	}
 	ctx.Response.Header.Set(HeaderOutcome, OutcomeAnswered)
--- a/entry/node.go
+++ b/entry/node.go
@@ -57,7 +57,9 @@
 	currentView atomic.Pointer[configView]
 
 	// mu guards the fields of this group.
-	mu           sync.Mutex
+	mu sync.Mutex
+	// claiming holds the identifiers that requests of this process are claiming right now.
+	claiming     map[uuid.UUID]bool
 	admission    *admit.Table
 	session      *member.Session
 	limitedTeams []limitedTeam
@@ -132,6 +134,7 @@
 		connPools:    map[string]*conns.Pool{},
 		suspects:     map[string]time.Time{},
 		exchangers:   map[string]*exchanger{},
+		claiming:     map[uuid.UUID]bool{},
 	}
 	for _, opt := range opts {
 		opt(n)
--- a/entry/node_test.go
+++ b/entry/node_test.go
@@ -170,6 +170,7 @@
 		{"answer", testAnswer},
 		{"repeat", testRepeatAtAnotherNode},
 		{"error answer", testErrorAnswerIsNotRetried},
+		{"concurrent claims", testConcurrentClaims},
 		{"bad input", testInvalidRequests},
 		{"operators' change", testOperatorChanges},
 		{"key history", testKeyHistory},
