Grave faults of the close reading in jobs, appends, renewals and waves

Causes and changes: - Job.Validate multiplied items and occurrences without a bound, so that repeat_count 2^62 with count 4 passed and each holder that read the job added occurrences for ever. Each number has a bound now, and sums and products of valid numbers do not overflow. What is stored already and invalid fails at once instead of being planned. Texts that are not UTF-8 were stored and could not be read again: callers' ones are refused, targets' checkpoints are kept. - An append found written after a lost response left the writer failing and unconfirmed, so that the intake could refuse for good; a jump of the sequence counted as written, on a first attempt too. The jump now ends the epoch. - An idle target with an end that is not recorded was renewed without a pause, for as long as an outage of the store lasts. It is renewed once the record is written, and its driver is woken then. - A wave's completion was reported while its record was still being written; a wave was complete although one list lacked a host of it; an order without an answer took two places of a wave's cap. Ruled out: Flush that fails loses starts: the epoch ends on its error, and none of those starts was recorded or sent.

--- a/agent/driver.go
+++ b/agent/driver.go
@@ -125,29 +125,29 @@
 		}
 		reply, err := d.client.RenewLease(r.LeaseExpiryMs, h.table.Token(), r.AcknowledgedEnd, poll, poll+orderTimeout)
 		h.agent.meters.renewals.Inc(1)
-		if !d.applyRenewal(reply, err, now, r.LeaseExpiryMs == 0) {
+		if !d.applyRenewal(&r, reply, err, now) {
 			return
 		}
 	}
 }
 
 // applyRenewal applies the result of a renewal and pauses before the next one; it reports whether the driver is still open.
-func (d *driver) applyRenewal(reply work.RenewalReply, err error, sent time.Duration, withoutLease bool) bool {
+func (d *driver) applyRenewal(r *sched.Renewal, reply work.RenewalReply, err error, sent time.Duration) bool {
 	h := d.holder
 	now := h.agent.clock.Now()
 	h.mu.Lock()
 	if err != nil {
 		h.table.CallUnanswered(d.id)
 	} else {
-		h.table.RenewalAnswered(d.id, reply, sent, now)
+		h.table.RenewalAnswered(d.id, reply, r.AcknowledgedEnd, sent, now)
 	}
 	h.mu.Unlock()
 	h.wakeLoop()
 	switch {
 	case err != nil:
 		return d.pause(renewRetryPause)
-	// If the target's clock was unknown, the reply has told it, and the next renewal can extend the lease without a pause.
-	case withoutLease && reply.Status == work.OrderDone:
+	// The reply has told the target's clock, and the next renewal can extend the lease without a pause.
+	case r.ClockUnknown && reply.Status == work.OrderDone:
 		return true
 	default:
 		return d.pause(time.Duration(h.renewPause.Load()))
--- a/agent/holder.go
+++ b/agent/holder.go
@@ -250,6 +250,7 @@
 	if len(b.Entries) == 0 {
 		h.table.Flushed(b)
 		h.dispatch(b.Orders)
+		h.wakeAcknowledged(b)
 		return nil, nil
 	}
 	return b, nil
@@ -274,6 +275,7 @@
 	defer h.mu.Unlock()
 	h.table.Flushed(b)
 	h.dispatch(b.Orders)
+	h.wakeAcknowledged(b)
 	for _, id := range b.Jobs() {
 		for _, c := range h.cancelWaiters[id] {
 			close(c)
@@ -282,6 +284,15 @@
 	}
 }
 
+// wakeAcknowledged wakes the drivers of the targets whose ends the store holds now, because an idle target is renewed only once it can forget its ends; the caller holds the lock.
+func (h *Holder) wakeAcknowledged(b *sched.Batch) {
+	for _, id := range b.Acknowledged() {
+		if d, ok := h.drivers[id]; ok {
+			signal(d.renewNow)
+		}
+	}
+}
+
 // syncDrivers starts a driver for each new target and closes those of removed ones; the caller holds the lock.
 func (h *Holder) syncDrivers() {
 	h.renewPause.Store(int64(h.agent.link.renewPause(h.table.CountBusyTargets())))
--- a/agent/stream.go
+++ b/agent/stream.go
@@ -48,18 +48,15 @@
 	return err
 }
 
-// append writes the records and returns the offset of the first, or -1 if the offset is not known because the response was lost. It retries after every error except a platform.FencedError, until the append is known to be written or the context ends.
+// append writes the records and returns the offset of the first, or -1 if the offset is not known because the response was lost. It retries after every error except a platform.FencedError and an unexplained platform.SequenceError, until the append is known to be written or the context ends.
 func (w *fencedWriter) append(ctx context.Context, records []platform.Record) (int64, error) {
 	for attempt := 0; ; attempt++ {
 		began := w.agent.clock.Now()
 		offset, err := w.agent.store.Append(w.topic, w.part, records, &platform.Producer{Name: producerName, Epoch: w.epoch, Sequence: w.nextSequence}, w.attemptTimeout(attempt))
 		w.agent.meters.storeWrites.Inc(1)
 		if err == nil {
-			w.nextSequence++
 			w.recordLatency(w.agent.clock.Now() - began)
-			w.failingSince.Store(0)
-			w.confirmedAt.Store(int64(began))
-			w.agent.recordStoreAnswer()
+			w.recordWritten(began)
 			return offset, nil
 		}
 		var fenced *platform.FencedError
@@ -68,10 +65,14 @@
 		}
 		var sequence *platform.SequenceError
 		if errors.As(err, &sequence) && sequence.Expected >= 0 && sequence.Expected != w.nextSequence {
-			if sequence.Expected > w.nextSequence {
+			switch {
+			case attempt > 0 && sequence.Expected == w.nextSequence+1:
 				// An earlier attempt was written, but its response was lost.
-				w.nextSequence = sequence.Expected
+				w.recordWritten(began)
 				return -1, nil
+			case sequence.Expected > w.nextSequence:
+				// Somebody else has appended under this epoch, so these records are not known to be written.
+				return 0, err
 			}
 			w.nextSequence = sequence.Expected
 			continue
@@ -84,6 +85,14 @@
 	}
 }
 
+// recordWritten counts an append that is written; the attempt that showed it began at the given time.
+func (w *fencedWriter) recordWritten(began time.Duration) {
+	w.nextSequence++
+	w.failingSince.Store(0)
+	w.confirmedAt.Store(int64(began))
+	w.agent.recordStoreAnswer()
+}
+
 // recordLatency adds the latency of an append to the moving average.
 func (w *fencedWriter) recordLatency(took time.Duration) {
 	w.averageLatency += latencyWeight * (float64(took) - w.averageLatency)
--- a/sched/bench_test.go
+++ b/sched/bench_test.go
@@ -26,7 +26,7 @@
 	for n := range hosts {
 		id := work.TargetID(fmt.Sprintf("i%d", n))
 		t.UpsertTarget(work.Target{ID: id, Pool: fmt.Sprintf("p%d", n%pools), Address: "a", Capacity: work.Resources{CPU: 1000, MemMB: 1000}}, now)
-		t.RenewalAnswered(id, work.RenewalReply{ClockMs: 1000}, now, now)
+		t.RenewalAnswered(id, work.RenewalReply{ClockMs: 1000}, 0, now, now)
 	}
 	for n := range jobs + hosts/items {
 		t.Accept(&work.Job{
--- a/sched/flush.go
+++ b/sched/flush.go
@@ -22,7 +22,13 @@
 	jobs       []*job
 	states     []work.State
 	acks       []ack
-	waves      []*waveState
+	waves      []waveRecord
+}
+
+// waveRecord is a wave whose progress a batch holds, and whether it was complete then.
+type waveRecord struct {
+	wave      *waveState
+	completed bool
 }
 
 // ack is the acknowledgement of a target's ends up to a number, valid in one incarnation.
@@ -41,6 +47,15 @@
 	return ids
 }
 
+// Acknowledged returns the targets whose ends the batch records, so that they can be told to forget them once the store holds the batch.
+func (b *Batch) Acknowledged() []work.TargetID {
+	ids := make([]work.TargetID, len(b.acks))
+	for i, a := range b.acks {
+		ids[i] = a.target.ID
+	}
+	return ids
+}
+
 // Empty reports whether the batch has nothing to write or send.
 func (b *Batch) Empty() bool {
 	return len(b.Entries) == 0 && len(b.Orders) == 0 && len(b.HostOrders) == 0 && len(b.acks) == 0
@@ -103,7 +118,7 @@
 			return err
 		}
 		w.dirty = false
-		b.waves = append(b.waves, w)
+		b.waves = append(b.waves, waveRecord{wave: w, completed: w.completed})
 		b.Entries = append(b.Entries, Entry{Key: wavePrefix + strconv.FormatInt(w.Number, 10), Value: value})
 	}
 	return nil
@@ -117,6 +132,9 @@
 			j.occurrences = nil
 		}
 	}
+	for _, r := range b.waves {
+		r.wave.recordedCompleted = r.completed
+	}
 	for _, a := range b.acks {
 		if a.target.incarnation == a.incarnation {
 			a.target.lastRecordedEnd = max(a.target.lastRecordedEnd, min(a.number, a.target.lastAppliedEnd))
--- a/sched/host.go
+++ b/sched/host.go
@@ -70,19 +70,27 @@
 	work.Wave
 	announcedAt time.Duration
 	// begun holds the names of the hosts whose maintenance the cloud has accepted.
-	begun     map[string]bool
-	completed bool
+	begun map[string]bool
+	// missingSince is when the first host list that lacks a host of the wave was requested.
+	missingSince map[string]time.Duration
+	completed    bool
+	// recordedCompleted means that the store holds the completion.
+	recordedCompleted bool
 	// reported is what operators have been told: 0 nothing, 1 running, 2 completed.
 	reported int
 	dirty    bool
 	loggedAt time.Duration
 }
 
+func newWaveState() *waveState {
+	return &waveState{begun: map[string]bool{}, missingSince: map[string]time.Duration{}}
+}
+
 // AddWave adds an operator's wave that was announced at the given time, or updates the wave with the same number.
 func (t *Table) AddWave(w work.Wave, announcedAt time.Duration) {
 	wave, ok := t.waves[w.Number]
 	if !ok {
-		wave = &waveState{begun: map[string]bool{}}
+		wave = newWaveState()
 		t.waves[w.Number] = wave
 		t.waveList = append(t.waveList, wave)
 	}
--- a/sched/hostlist.go
+++ b/sched/hostlist.go
@@ -19,6 +19,9 @@
 			t.removeHost(h, now)
 		}
 	}
+	for _, w := range t.waveList {
+		w.updateMissing(present, sent)
+	}
 	t.hostsListed = true
 	t.dropMissingTargets(list, sent, now)
 	sort.Slice(t.sortedHosts, func(a, b int) bool { return t.sortedHosts[a].Name < t.sortedHosts[b].Name })
--- a/sched/incarnation.go
+++ b/sched/incarnation.go
@@ -31,7 +31,7 @@
 // endIncarnation revokes the runs of a target's former incarnation, so that none of their starts is executed by the next one, and requeues their items. A start that is not answered yet may still be executed by the next incarnation, so its item stays assigned to the target.
 func (t *Table) endIncarnation(tgt *target, now time.Duration, cause string) {
 	t.logEvent("lifeOver", string(tgt.ID), cause, tgt.Address)
-	tgt.acquired, tgt.lastAppliedEnd, tgt.lastRecordedEnd = false, 0, 0
+	tgt.acquired, tgt.lastAppliedEnd, tgt.lastRecordedEnd, tgt.lastAcknowledgedEnd = false, 0, 0, 0
 	tgt.clockAt, tgt.clockMs, tgt.leaseExpiresAt = 0, 0, 0
 	tgt.orphanUsage = work.Resources{}
 	for n := 0; n < len(tgt.runs); {
--- a/sched/incarnation_test.go
+++ b/sched/incarnation_test.go
@@ -15,7 +15,7 @@
 	table := New(testBounds())
 	table.Configure(&work.Config{Version: 1, Queues: []work.Queue{{Name: "q", Pool: "p"}}})
 	table.UpsertTarget(work.Target{ID: "a", Pool: "p", Address: "a", Capacity: work.Resources{CPU: 1000, MemMB: 1000}}, 0)
-	table.RenewalAnswered("a", work.RenewalReply{ClockMs: 1}, 0, 0)
+	table.RenewalAnswered("a", work.RenewalReply{ClockMs: 1}, 0, 0, 0)
 	table.Accept(&work.Job{ID: "0000000000000001", Queue: "q", Steps: []work.Step{{Count: 1, Demand: work.Resources{CPU: 1, MemMB: 1}}}}, 0)
 	table.Plan(0)
 	tgt := table.targets["a"]
--- a/sched/job.go
+++ b/sched/job.go
@@ -88,9 +88,11 @@
 	// recordedState is the state that the store holds.
 	recordedState work.State
 	cancelled     bool
-	started       bool
-	dirty         bool
-	endedMs       int64
+	// invalid means that the job was stored although it is not valid; it has no occurrences.
+	invalid bool
+	started bool
+	dirty   bool
+	endedMs int64
 	// nextOccurrence is the number of occurrences that have been added.
 	nextOccurrence int
 	occurrences    []*occurrence
--- a/sched/load.go
+++ b/sched/load.go
@@ -29,7 +29,8 @@
 	if err := work.Decode(value, &progress); err != nil {
 		return err
 	}
-	wave := &waveState{Wave: work.Wave{Number: number}, begun: map[string]bool{}, completed: progress.Completed}
+	wave := newWaveState()
+	wave.Number, wave.completed, wave.recordedCompleted = number, progress.Completed, progress.Completed
 	for _, name := range progress.Started {
 		wave.begun[name] = true
 	}
@@ -43,7 +44,7 @@
 	// The job's age counts from its acceptance, which may have been by an earlier holder.
 	age := max(time.Duration(t.wallMs(now)-record.AcceptedMs)*time.Millisecond, 0)
 	j := t.addJob(record, now-age)
-	if progress == nil {
+	if progress == nil || j.invalid {
 		return
 	}
 	j.state, j.recordedState, j.cancelled, j.endedMs = progress.State, progress.State, progress.Cancelled, progress.EndedMs
--- a/sched/load_test.go
+++ b/sched/load_test.go
@@ -163,7 +163,7 @@
 		}
 	}
 	l.Ended = sim.ends[id]
-	sim.table.RenewalAnswered(id, l, sim.now, sim.now)
+	sim.table.RenewalAnswered(id, l, acknowledged, sim.now, sim.now)
 	sim.countCompleted()
 }
 
--- a/sched/modelholder_test.go
+++ b/sched/modelholder_test.go
@@ -120,7 +120,7 @@
 		}
 		l := t.renew(h.model, r, h.epoch)
 		h.schedule(h.randomDuration(time.Millisecond, 30*time.Millisecond), func() {
-			h.table.RenewalAnswered(t.id, l, sent, h.now)
+			h.table.RenewalAnswered(t.id, l, r.AcknowledgedEnd, sent, h.now)
 			for _, o := range h.table.TakeOrders() {
 				h.unsentOrders[TargetOf(o)] = append(h.unsentOrders[TargetOf(o)], o)
 			}
--- a/sched/renew.go
+++ b/sched/renew.go
@@ -14,8 +14,10 @@
 	AcknowledgedEnd int64
 	// ShortPoll means that the target should answer soon and not wait long for a run to end: a serving item is about to reach full speed, and until the reply shows that, no other item of its step may be evicted.
 	ShortPoll bool
-	// Needed is false if the target knows this holder, runs nothing, has no end that is not recorded, and showed no unexpected run in its last reply.
+	// Needed is false if the target knows this holder, runs nothing, has no recorded end to forget, and showed no unexpected run in its last reply.
 	Needed bool
+	// ClockUnknown means that the target runs something, but its lease cannot be extended before a reply shows its clock.
+	ClockUnknown bool
 }
 
 // PrepareRenewal returns the next renewal of a target's lease. If the target runs something, it also moves the time at which the lease has certainly expired.
@@ -24,9 +26,10 @@
 	if !ok {
 		return Renewal{}
 	}
-	r := Renewal{AcknowledgedEnd: tgt.lastRecordedEnd, Needed: !tgt.acquired || len(tgt.runs) > 0 || tgt.lastAppliedEnd > tgt.lastRecordedEnd || tgt.orphanUsage != work.Resources{}}
+	r := Renewal{AcknowledgedEnd: tgt.lastRecordedEnd, Needed: !tgt.acquired || len(tgt.runs) > 0 || tgt.lastRecordedEnd > tgt.lastAcknowledgedEnd || tgt.orphanUsage != work.Resources{}}
 	if len(tgt.runs) > 0 {
 		r.LeaseExpiryMs = tgt.extendLease(now, leaseDuration)
+		r.ClockUnknown = r.LeaseExpiryMs == 0
 	}
 	for _, it := range tgt.runs {
 		s := it.step.spec
@@ -56,8 +59,8 @@
 	t.logEvent("silent", string(id), "no answer", tgt.Address)
 }
 
-// RenewalAnswered applies a target's reply to a renewal that was sent at the given time.
-func (t *Table) RenewalAnswered(id work.TargetID, reply work.RenewalReply, sent, now time.Duration) {
+// RenewalAnswered applies a target's reply to a renewal that was sent at the given time and acknowledged ends up to the given one.
+func (t *Table) RenewalAnswered(id work.TargetID, reply work.RenewalReply, acknowledged int64, sent, now time.Duration) {
 	tgt, ok := t.targets[id]
 	if !ok {
 		return
@@ -90,6 +93,7 @@
 		}
 		tgt.leaseExpiresAt = now + leaseDuration + leaseDuration/40 + leaseMargin
 	}
+	tgt.lastAcknowledgedEnd = max(tgt.lastAcknowledgedEnd, min(acknowledged, tgt.lastRecordedEnd))
 	t.stopRevokedRuns(tgt, now)
 	t.applyEnds(tgt, reply.Ended, now)
 	t.applyRuns(tgt, reply.Running, sent, now)
--- a/sched/script_test.go
+++ b/sched/script_test.go
@@ -138,7 +138,7 @@
 		}, sr.now)
 	case "removeTarget": // NAME: the entry has been removed from the store
 		sr.table.RemoveTarget(work.TargetID(args[0]))
-	case "renewalAnswered": // TARGET [running=LIST] [ended=LIST] [incarnation=N] [answer=other|fenced|unhealthy] [sent=DURATION]
+	case "renewalAnswered": // TARGET [running=LIST] [ended=LIST] [incarnation=N] [answer=other|fenced|unhealthy] [sent=DURATION] [acknowledged=N]
 		sr.answerRenewal(args[0], o)
 	case "callUnanswered": // TARGET
 		sr.table.CallUnanswered(work.TargetID(args[0]))
@@ -176,6 +176,9 @@
 		sr.table.StopAnswered(StopOrder{Target: work.TargetID(o["target"]), Item: sr.parseItem(args[0]), Run: parseNumber(o["run"]), Revokes: o["revokes"] != ""}, work.OrderReply{}, sr.now)
 	case "plan": // plans and flushes, see plan
 		sr.plan()
+	case "step": // plans without taking a batch
+		sr.table.hostsPlannedAt = 0
+		sr.table.Plan(sr.now)
 	case "flush": // takes a batch and stores it
 		sr.beginFlush()
 		sr.endFlush()
@@ -320,7 +323,15 @@
 	if o["sent"] != "" {
 		sent = sr.parseDuration(o["sent"])
 	}
-	sr.table.RenewalAnswered(work.TargetID(id), l, sent, sr.now)
+	// The renewal acknowledged what was recorded when it was sent, unless the script says otherwise.
+	acknowledged := int64(0)
+	if tgt := sr.table.targets[work.TargetID(id)]; tgt != nil {
+		acknowledged = tgt.lastRecordedEnd
+	}
+	if o["acknowledged"] != "" {
+		acknowledged = int64(parseNumber(o["acknowledged"]))
+	}
+	sr.table.RenewalAnswered(work.TargetID(id), l, acknowledged, sent, sr.now)
 }
 
 func (sr *scriptRunner) answerHostOrder(name string, o map[string]string) {
--- a/sched/table.go
+++ b/sched/table.go
@@ -155,16 +155,27 @@
 		return false
 	}
 	j := t.addJob(record, now)
+	if j.invalid {
+		return true
+	}
 	t.ensurePool(j.queue.Pool).addArrival(record, t.ensureRunStats(j.queue.Name), now)
 	return true
 }
 
-// addJob adds a job that was accepted at the given time; if its queue is not configured, it gets a single attempt.
+// addJob adds a job that was accepted at the given time; if its queue is not configured, it gets a single attempt. A stored job that is not valid fails at once and gets no items, because its numbers cannot be trusted.
 func (t *Table) addJob(record *work.Job, acceptedAt time.Duration) *job {
 	q, ok := t.config.Queue(record.Queue)
 	if !ok {
 		q = &work.Queue{Name: record.Queue, Pool: record.Pool, MaxAttempts: 1, SlackFactor: 1}
 	}
+	if err := record.Validate(); err != nil {
+		j := &job{record: record, queue: q, acceptedAt: acceptedAt, invalid: true}
+		t.jobs[record.ID] = j
+		t.activeJobs = append(t.activeJobs, j)
+		t.logEvent("invalidJob", string(record.ID), "stored job is not valid", err.Error())
+		t.finishJob(j, work.Failed, acceptedAt)
+		return j
+	}
 	j := newJob(record, q, acceptedAt)
 	t.jobs[record.ID] = j
 	t.activeJobs = append(t.activeJobs, j)
--- a/sched/target.go
+++ b/sched/target.go
@@ -31,9 +31,10 @@
 	clockAt time.Duration
 	// leaseExpiresAt is when the target has certainly ended its runs unless its lease is renewed.
 	leaseExpiresAt time.Duration
-	// lastAppliedEnd is the sequence number of the last run end that was applied, lastRecordedEnd that of the last one that the store holds.
-	lastAppliedEnd  int64
-	lastRecordedEnd int64
+	// lastAppliedEnd is the sequence number of the last run end that was applied, lastRecordedEnd that of the last one that the store holds, and lastAcknowledgedEnd that of the last one that the target has been told to forget.
+	lastAppliedEnd      int64
+	lastRecordedEnd     int64
+	lastAcknowledgedEnd int64
 	// unreachable means that the last call to the target got no answer.
 	unreachable bool
 	// quarantinedUntil is when the target may get new starts again after it was found unhealthy.
--- a/sched/wave.go
+++ b/sched/wave.go
@@ -35,7 +35,7 @@
 	}
 	left := t.hostsAwaitingMaintenance(w)
 	if len(left) == 0 {
-		if t.hostsDown(w) == 0 {
+		if t.hostsDown(w) == 0 && t.missingHostsGone(w, now) {
 			w.completed, w.dirty = true, true
 			t.logEvent("waveCompleted", orderName(HostOrder{Wave: w.Number}), "all hosts have begun maintenance", "")
 		}
@@ -43,7 +43,8 @@
 	}
 	allowance := max(w.MaxConcurrent, 1) - t.hostsDown(w)
 	for _, h := range left {
-		if h.order != nil && h.order.Wave == w.Number && h.order.stage == stageDraining {
+		// An order that may have been executed is among those that hostsDown counts.
+		if h.order != nil && h.order.Wave == w.Number && h.order.stage == stageDraining && !h.order.maybeExecuted {
 			allowance--
 		}
 	}
@@ -69,6 +70,33 @@
 	}
 }
 
+// goneHostDelay is how long a host of a wave must be missing from the cloud's lists before it counts as gone for good; a host that is only left out of a list still needs its maintenance.
+const goneHostDelay = 5 * time.Second
+
+// missingHostsGone reports whether all hosts of the wave that have not begun their maintenance are gone for good.
+func (t *Table) missingHostsGone(w *waveState, now time.Duration) bool {
+	for _, name := range w.Hosts {
+		if w.begun[name] || t.hosts[name] != nil {
+			continue
+		}
+		if since, missing := w.missingSince[name]; !missing || now-since < goneHostDelay {
+			return false
+		}
+	}
+	return true
+}
+
+// updateMissing notes since when hosts of the wave have been missing from the lists, given one that was requested at the given time.
+func (w *waveState) updateMissing(present map[string]bool, sent time.Duration) {
+	for _, name := range w.Hosts {
+		if present[name] {
+			delete(w.missingSince, name)
+		} else if _, known := w.missingSince[name]; !known {
+			w.missingSince[name] = sent
+		}
+	}
+}
+
 // servingCapDivisor divides the wave's cap to bound how many hosts with serving items drain at once.
 const servingCapDivisor = 4
 
@@ -205,13 +233,13 @@
 	Completed bool
 }
 
-// WaveUpdates returns the changes of waves that have not been reported to operators; a completion is among them once its record is in a batch.
+// WaveUpdates returns the changes of waves that have not been reported to operators; a completion is among them once the store holds it.
 func (t *Table) WaveUpdates() []WaveUpdate {
 	var updates []WaveUpdate
 	for _, w := range t.waveList {
 		// The numbers are those of waveState.reported: 1 running, 2 completed.
 		progress := 1
-		if w.completed && !w.dirty {
+		if w.recordedCompleted {
 			progress = 2
 		}
 		if w.reported < progress {
--- a/work/job.go
+++ b/work/job.go
@@ -1,5 +1,7 @@
 package work
 
+import "unicode/utf8"
+
 // JobID is a job's identifier, 16 hexadecimal digits chosen by the caller.
 type JobID string
 
@@ -95,9 +97,12 @@
 const (
 	// MaxSpecBytes is the limit on Job.Spec that the platform's interface sets.
 	MaxSpecBytes = 4000
-	// MaxSteps and MaxItems keep a job's record well below the store's limit on the size of a record.
+	// MaxSteps and MaxItems keep a job's record well below the store's limit on the size of a record. MaxItems counts the items of all occurrences.
 	MaxSteps = 100
 	MaxItems = 5000
+	// MaxDemand bounds each amount of a step's demand (millicores, megabytes, GPUs), and MaxTimeMs each duration and due time in milliseconds. Sums and products of valid amounts thus never overflow.
+	MaxDemand = 1_000_000_000
+	MaxTimeMs = 100_000_000_000_000
 )
 
 // Validate returns an InvalidJobError if the job cannot run as specified.
@@ -109,8 +114,12 @@
 		return &InvalidJobError{Reason: "no steps"}
 	case len(j.Steps) > MaxSteps:
 		return &InvalidJobError{Reason: "too many steps"}
+	case !utf8.ValidString(j.Spec):
+		return &InvalidJobError{Reason: "spec is not valid UTF-8"}
 	case j.Occurrences < 0 || j.IntervalMs < 0 || j.FirstRunMs < 0:
 		return &InvalidJobError{Reason: "negative schedule"}
+	case j.Occurrences > MaxItems || j.IntervalMs > MaxTimeMs || j.FirstRunMs > MaxTimeMs:
+		return &InvalidJobError{Reason: "schedule out of range"}
 	}
 	items := 0
 	for i := range j.Steps {
@@ -118,8 +127,8 @@
 		if s.Count <= 0 || s.Count > MaxItems {
 			return &InvalidJobError{Reason: "count out of range"}
 		}
-		if s.Demand.CPU < 0 || s.Demand.MemMB < 0 || s.Demand.GPUs < 0 || s.EstimateMs < 0 || s.MaxPerTarget < 0 || s.MaxUnavailable < 0 {
-			return &InvalidJobError{Reason: "negative demand"}
+		if err := s.validate(); err != nil {
+			return err
 		}
 		for _, a := range s.After {
 			if a < 0 || a >= i {
@@ -134,6 +143,22 @@
 	return nil
 }
 
+// validate checks the numbers and texts of a step, apart from its count and its dependencies.
+func (s *Step) validate() error {
+	if s.Demand.CPU < 0 || s.Demand.MemMB < 0 || s.Demand.GPUs < 0 || s.EstimateMs < 0 || s.MaxPerTarget < 0 || s.MaxUnavailable < 0 || s.MaxTailLatencyMs < 0 {
+		return &InvalidJobError{Reason: "negative demand"}
+	}
+	if max(s.Demand.CPU, s.Demand.MemMB, s.Demand.GPUs) > MaxDemand || max(s.EstimateMs, s.MaxTailLatencyMs) > MaxTimeMs {
+		return &InvalidJobError{Reason: "demand out of range"}
+	}
+	for _, text := range []string{s.RequiredLabel, s.DataRack, s.Image} {
+		if !utf8.ValidString(text) {
+			return &InvalidJobError{Reason: "text is not valid UTF-8"}
+		}
+	}
+	return nil
+}
+
 // CriticalPathMs returns the length of the critical path through the steps, by estimated run times.
 func (j *Job) CriticalPathMs() int64 {
 	ends := make([]int64, len(j.Steps))
--- /dev/null
+++ b/work/job_test.go
@@ -0,0 +1,50 @@
+package work
+
+import (
+	"encoding/json"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+	"golang.org/x/tools/txtar"
+)
+
+// TestValidate guards against a job whose numbers overflow once they are added or multiplied. Such a job was accepted and stored, and its occurrences were added without end by each holder that read it.
+func TestValidate(t *testing.T) {
+	archive, err := txtar.ParseFile("testdata/validate.txtar")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, f := range archive.Files {
+		t.Run(f.Name, func(t *testing.T) {
+			is := is.New(t)
+			var job Job
+			is.NoErr(json.Unmarshal(f.Data, &job))
+			err := job.Validate()
+			is.Equal(err == nil, strings.HasPrefix(f.Name, "valid:")) // the job is accepted
+		})
+	}
+}
+
+// TestTextsOfTargetsSurviveStorage guards against a progress record that no successor can decode, so that items that are done run again. A checkpoint is a text of the target and may not be valid UTF-8.
+func TestTextsOfTargetsSurviveStorage(t *testing.T) {
+	is := is.New(t)
+	value, err := Encode(&JobProgress{Items: []ItemProgress{{Run: 1, Checkpoint: "\xff\xfe"}}})
+	is.NoErr(err)
+	var p JobProgress
+	is.NoErr(Decode(value, &p))
+	is.Equal(p.Items[0].Checkpoint, "\xff\xfe")
+}
+
+// TestInvalidTextIsRefused guards against a job that is stored although nobody can read it.
+func TestInvalidTextIsRefused(t *testing.T) {
+	is := is.New(t)
+	for _, job := range []Job{
+		{Spec: "\xff", Steps: []Step{{Count: 1}}},
+		{Steps: []Step{{Count: 1, Image: "\xff"}}},
+		{Steps: []Step{{Count: 1, RequiredLabel: "\xff"}}},
+		{Steps: []Step{{Count: 1, DataRack: "\xff"}}},
+	} {
+		is.True(job.Validate() != nil)
+	}
+}
--- a/work/record.go
+++ b/work/record.go
@@ -47,9 +47,21 @@
 	return b, trace.Wrap(err)
 }
 
+// decoder accepts texts that are not valid UTF-8, because records hold texts of targets, such as checkpoints, as they came.
+var decoder = newDecoder()
+
+func newDecoder() cbor.DecMode {
+	mode, err := cbor.DecOptions{UTF8: cbor.UTF8DecodeInvalid}.DecMode()
+	if err != nil {
+		// Not reached: the option exists.
+		panic(err)
+	}
+	return mode
+}
+
 // Decode decodes a stored record into record.
 func Decode(b []byte, record any) error {
-	return trace.Wrap(cbor.Unmarshal(b, record))
+	return trace.Wrap(decoder.Unmarshal(b, record))
 }
 
 // HostOrderRecord is the last order for a host, stored before the order is sent.
