Waves: Serving items leave a full pool; suspended renewals are logged once

Two items of one step had to leave it one by one, each only once there was room elsewhere, and batch work took all room that became free. Ruled out: the disruption budget (nobody was unavailable), the cap of the wave (1 of 11 in use), the takeover (the epoch was 18 s old). Change: an item of a host that has drained for longer than maxDrainWait is evicted within its budget without room elsewhere; it is placed before batch work.

--- a/agent/authority.go
+++ b/agent/authority.go
@@ -31,6 +31,16 @@
 	return 2*(followers+1) > len(h.agent.members)
 }
 
+// checkMayRenew is mayRenew for the drivers of all targets. It logs when the answer changes, and not for each target.
+func (h *Holder) checkMayRenew() bool {
+	may := h.mayRenew()
+	if h.renewalsSuspended.Swap(!may) == may {
+		h.agent.log.Warn("renewals of targets' leases", zap.Bool("suspended", !may), zap.Int64("epoch", h.epoch),
+			zap.String("cause", "whether the store or a majority of the members confirms this holder"))
+	}
+	return may
+}
+
 // followerTimeout is how recently a follower must have sent a heartbeat to count as one, five heartbeat intervals.
 const followerTimeout = time.Second
 
--- a/agent/driver.go
+++ b/agent/driver.go
@@ -109,8 +109,7 @@
 			continue
 		}
 		// A LeaseExpiryMs of 0 means that the call extends no lease: the target runs nothing or its clock is not known yet.
-		if r.LeaseExpiryMs > 0 && !h.mayRenew() {
-			h.agent.log.Warn("target's lease not renewed", zap.String("target", string(d.id)), zap.String("cause", "neither the store nor a majority of the members confirms this holder"))
+		if r.LeaseExpiryMs > 0 && !h.checkMayRenew() {
 			if !d.pause(renewRetryPause) {
 				return
 			}
--- a/agent/holder.go
+++ b/agent/holder.go
@@ -46,10 +46,12 @@
 	resigned atomic.Bool
 	// confirmedAt is when the last successful read of the holder's record began. A read that finds a later claim ends the epoch.
 	confirmedAt atomic.Int64
-	ready       atomic.Bool
-	cancel      context.CancelCauseFunc
-	ctx         context.Context
-	wake        chan struct{}
+	// renewalsSuspended means that the drivers were last told not to renew leases.
+	renewalsSuspended atomic.Bool
+	ready             atomic.Bool
+	cancel            context.CancelCauseFunc
+	ctx               context.Context
+	wake              chan struct{}
 	// renewPause is the pause between a target's reply to a renewal and its next renewal, in nanoseconds.
 	renewPause atomic.Int64
 
--- a/agent/holder_test.go
+++ b/agent/holder_test.go
@@ -8,6 +8,8 @@
 
 	"github.com/matryer/is"
 	"github.com/valyala/fasthttp"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
 	"lavenderwing.example/lavenderwing/fake"
 	"lavenderwing.example/lavenderwing/mesh"
@@ -176,3 +178,25 @@
 	is.Equal(h.status(mesh.Request{Kind: mesh.Status, ID: job.ID}).Outcome, mesh.Answered)
 	is.Equal(h.status(mesh.Request{Kind: mesh.Status, ID: "0000000000000002"}).Outcome, mesh.UnknownJob)
 }
+
+// TestSuspendedRenewalsAreLoggedOnce guards against a log that fills up: a holder that was cut off with its zone wrote a line for each target and each attempt, 1,697 in four seconds.
+func TestSuspendedRenewalsAreLoggedOnce(t *testing.T) {
+	is := is.New(t)
+	core, lines := observer.New(zap.InfoLevel)
+	a, h := newTestAgent(t)
+	a.log = zap.New(core)
+	stale := a.clock.Now() - 2*sched.MaxUnconfirmedRenewal
+	for _, at := range []*atomic.Int64{&h.progress.confirmedAt, &h.intake.writer.confirmedAt, &h.confirmedAt} {
+		at.Store(int64(stale))
+	}
+	a.members["b"] = member{heardAt: stale}
+	a.members["c"] = member{heardAt: stale}
+	for range 1000 {
+		is.True(!h.checkMayRenew())
+	}
+	is.Equal(lines.Len(), 1)
+	h.confirmedAt.Store(int64(a.clock.Now() + time.Minute))
+	is.True(h.checkMayRenew())
+	is.True(h.checkMayRenew())
+	is.Equal(lines.Len(), 2) // one line for the loss and one for the return
+}
--- a/sched/evacuate.go
+++ b/sched/evacuate.go
@@ -2,14 +2,14 @@
 
 import "time"
 
-// evacuate evicts serving items from targets that drain or are cordoned, one by one within their steps' disruption budgets.
+// evacuate evicts serving items from targets that drain or are cordoned, one by one within their steps' disruption budgets. An item is evicted only when there is room for it elsewhere, unless its host has drained for long: in a full pool, batch work takes all room that becomes free, whereas an evicted item is placed before it.
 func (t *Table) evacuate(now time.Duration) {
 	for _, tgt := range t.sortedTargets {
 		if !tgt.Draining && (!tgt.cordoned || tgt.hostOrderIssued) {
 			continue
 		}
 		for _, it := range tgt.runs {
-			if it.step.spec.Serving && !it.stopping && it.confirmed && t.mayEvictOne(it.step, now) && t.pickTarget(it, now) != nil {
+			if it.step.spec.Serving && !it.stopping && it.confirmed && t.mayEvictOne(it.step, now) && (tgt.drainOverdue || t.pickTarget(it, now) != nil) {
 				t.logEvent("evacuated", it.id.String(), string(tgt.ID), "target is draining")
 				t.orderStop(it, now)
 			}
--- a/sched/host.go
+++ b/sched/host.go
@@ -230,7 +230,7 @@
 
 // issueReadyOrders issues the waiting orders whose hosts may be taken away now.
 func (t *Table) issueReadyOrders(now time.Duration) {
-	t.markHostOrdersIssued()
+	t.markHostOrders(now)
 	for _, h := range t.sortedHosts {
 		o := h.order
 		if o == nil || o.stage != stageDraining || h.State != work.HostUp || !t.mayOrder(h, now) {
@@ -244,20 +244,24 @@
 				return
 			}
 			t.issueOrder(h, now)
-			t.markHostOrdersIssued()
+			t.markHostOrders(now)
 		}
 	}
 }
 
-// markHostOrdersIssued marks the targets whose hosts have been ordered away, so that disruption budgets count their items as unavailable.
-func (t *Table) markHostOrdersIssued() {
+// markHostOrders marks the targets whose hosts have been ordered away, so that disruption budgets count their items as unavailable, and those whose hosts have drained for their maintenance for longer than maxDrainWait.
+func (t *Table) markHostOrders(now time.Duration) {
 	for _, tgt := range t.sortedTargets {
-		tgt.hostOrderIssued = false
+		tgt.hostOrderIssued, tgt.drainOverdue = false, false
 	}
 	for _, h := range t.sortedHosts {
-		if tgt, ok := t.targets[h.Target]; ok && h.order != nil && (h.order.stage != stageDraining || h.order.maybeExecuted) {
-			tgt.hostOrderIssued = true
+		tgt, ok := t.targets[h.Target]
+		if !ok || h.order == nil {
+			continue
 		}
+		o := h.order
+		tgt.hostOrderIssued = o.stage != stageDraining || o.maybeExecuted
+		tgt.drainOverdue = o.Wave > 0 && o.stage == stageDraining && now-o.stageSince > maxDrainWait
 	}
 }
 
--- a/sched/target.go
+++ b/sched/target.go
@@ -55,6 +55,8 @@
 	cordoned bool
 	// hostOrderIssued means that the order for the target's host has been issued.
 	hostOrderIssued bool
+	// drainOverdue means that the target's host has drained for its maintenance for longer than maxDrainWait.
+	drainOverdue bool
 	// maintenanceDue means that a wave has yet to maintain the target's host.
 	maintenanceDue bool
 	// missingSince is when the first host list that lacks the unreachable target was requested, 0 while the list shows it.
