The holder spends less processor time, and recognises bursts at once

A profile against 300 stand-in targets: 31 % of a call to a target went into a new JSON parser each time, and the collector ran at 50 %. Ruled out: fewer renewals (a longer pause leaves cores idle between an end and the next start); the pools' plan itself (10 % of the holder's time). Arrivals are also averaged over windows of 100 to 600 ms, less one standard deviation, and the largest counts.

--- a/agent/claim.go
+++ b/agent/claim.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"runtime/debug"
 	"time"
 
 	"go.uber.org/zap"
@@ -92,6 +93,9 @@
 	return -1
 }
 
+// holderGCPercent is the garbage collector's target while the process is the holder.
+const holderGCPercent = 200
+
 // hold runs the scheduling for an epoch until this holder is deposed or resigns. After a resignation it names a successor to the members.
 func (a *Agent) hold(ctx context.Context, epoch int64) {
 	self := elect.Holder{Claim: elect.Claim{Node: a.settings.Node, Address: a.address, Boot: a.boot}, Epoch: epoch}
@@ -107,7 +111,10 @@
 	a.meters.epoch.Update(float64(epoch))
 	a.log.Info("holding", zap.Int64("epoch", epoch))
 	a.broadcast(members, mesh.Notice{Epoch: epoch, Node: a.settings.Node, Address: a.address})
+	// The holder needs processor time more than memory; the process's memory limit still applies.
+	followerGC := debug.SetGCPercent(holderGCPercent)
 	err := h.run(ctx)
+	debug.SetGCPercent(followerGC)
 	a.mu.Lock()
 	a.active = nil
 	if !h.resigned.Load() {
--- a/sched/pools.go
+++ b/sched/pools.go
@@ -38,6 +38,8 @@
 	// arrivalCPU is the average of the arriving work, in millicores that it would keep busy.
 	arrivalCPU       float64
 	arrivalUpdatedAt time.Duration
+	// burst measures the arriving work over short windows.
+	burst burstMeter
 	// laggedArrivalCPU follows arrivalCPU with a lag, so that their difference shows a rise.
 	laggedArrivalCPU float64
 	// surplusSince is when the pool began to have more hosts than it needs, 0 if it has no more.
@@ -122,14 +124,17 @@
 
 // addArrival adds a job's work to the average of the arriving work. The run times are those expected after the queue's finished runs.
 func (p *poolState) addArrival(j *work.Job, stats *runStats, now time.Duration) {
+	total := 0.0
 	for i := range j.Steps {
 		s := &j.Steps[i]
 		if s.Serving {
 			continue
 		}
-		p.arrivalCPU = p.arrivalAt(now) + float64(int64(s.Count)*p.cpuEquivalent(s.Reservation()))*stats.expectedMs(s.EstimateMs)/float64(arrivalWindow.Milliseconds())
-		p.arrivalUpdatedAt = now
+		total += float64(int64(s.Count)*p.cpuEquivalent(s.Reservation())) * stats.expectedMs(s.EstimateMs) / 1000
 	}
+	p.arrivalCPU = p.arrivalAt(now) + total/arrivalWindow.Seconds()
+	p.arrivalUpdatedAt = now
+	p.burst.add(total, now)
 }
 
 // arrivalAt is the average of the arriving work at the given time.
@@ -143,7 +148,7 @@
 	decay := math.Exp(-(now - p.measuredAt).Seconds() / arrivalWindow.Seconds())
 	p.laggedArrivalCPU = arrival + (p.laggedArrivalCPU-arrival)*decay
 	rise := max(arrival-p.laggedArrivalCPU, 0) / arrivalWindow.Seconds()
-	return min(arrival+trendLeadSeconds*rise, maxTrendFactor*arrival)
+	return max(min(arrival+trendLeadSeconds*rise, maxTrendFactor*arrival), p.burst.rate(now))
 }
 
 // wanted is the number of hosts that the pool should have.
