Appends, claims and recovery lean less on each answer of the store

Ruled out: shorter timeouts, which abandon the answers of a slow store; repeated claims, whose condition fails; hedged submissions without a holder, which would double the load of a partition that falls behind. Change: an append is repeated under its sequence number while it is unanswered, after five times the average latency, at most twice, and the first answer counts. A claim without an answer is looked for in the store. A recovery reads the newest records during the fence and then what was written until the fence. Tests: a lost answer costs one hedge, a failed call none; a decisive error ends hedging; a claim with a lost answer is found; what precedes the fence is read, and never replaces newer records.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -71,6 +71,8 @@
 
 	config   atomic.Pointer[configState]
 	stopping atomic.Bool
+	// storeLatency is the average latency of the calls of elections to the store.
+	storeLatency latencyAverage
 	// storeAnsweredAt is when the store last answered, 0 before its first answer and -1 while calls to it fail.
 	storeAnsweredAt atomic.Int64
 	callerServer    *fasthttp.Server
--- a/agent/claim.go
+++ b/agent/claim.go
@@ -62,8 +62,7 @@
 		a.log.Error("cannot encode the claim", zap.Error(err))
 		return
 	}
-	offset, err := a.store.AppendAt(leadTopic, 0, platform.Record{Key: leadKey, Value: value}, end, storeTimeout)
-	a.meters.storeWrites.Inc(1)
+	offset, err := a.appendClaim(value, end)
 	if err != nil {
 		a.log.Info("append of the claim failed", zap.Int64("at", end), zap.Error(err))
 		offset = a.findOwnClaim()
@@ -74,6 +73,32 @@
 	a.hold(ctx, elect.Epoch(offset))
 }
 
+// appendClaim appends a claim and returns its offset. While the store does not answer, it looks for the claim, because the store may have written it and lost the answer. The append itself is not repeated: its condition fails once anybody has claimed.
+func (a *Agent) appendClaim(value []byte, end int64) (int64, error) {
+	type result struct {
+		offset int64
+		err    error
+	}
+	answered := make(chan result, 1)
+	go func() {
+		offset, err := a.store.AppendAt(leadTopic, 0, platform.Record{Key: leadKey, Value: value}, end, storeTimeout)
+		a.meters.storeWrites.Inc(1)
+		answered <- result{offset, err}
+	}()
+	for looked := 0; ; looked++ {
+		timer := time.NewTimer(hedgeDelay(a.storeLatency.get(), min(looked, maxHedges)))
+		select {
+		case r := <-answered:
+			timer.Stop()
+			return r.offset, r.err
+		case <-timer.C:
+			if offset := a.findOwnClaim(); offset >= 0 {
+				return offset, nil
+			}
+		}
+	}
+}
+
 // findOwnClaim returns the offset of this process's claim if the store wrote it but the response was lost, or -1.
 func (a *Agent) findOwnClaim() int64 {
 	records, _, err := a.store.ReadNewest(leadTopic, 0, storeTimeout)
--- a/agent/follow.go
+++ b/agent/follow.go
@@ -111,6 +111,7 @@
 
 // findHolderOrClaim reads the holder's record from the store and follows a new holder. It claims the next epoch if the holder is gone and the other members do not hear it either.
 func (a *Agent) findHolderOrClaim(ctx context.Context) {
+	asked := a.clock.Now()
 	records, end, err := a.store.ReadNewest(leadTopic, 0, storeTimeout)
 	a.meters.storeReads.Inc(1)
 	now := a.clock.Now()
@@ -119,6 +120,7 @@
 		return
 	}
 	a.recordStoreAnswer()
+	a.storeLatency.record(now - asked)
 	for _, r := range records {
 		h, err := elect.Decode(r.Value, r.Offset)
 		if err != nil {
--- a/agent/holder.go
+++ b/agent/holder.go
@@ -86,8 +86,8 @@
 		drivers: map[work.TargetID]*driver{}, cancelWaiters: map[work.JobID][]chan struct{}{},
 	}
 	h.renewPause.Store(int64(minRenewPause))
-	h.progress = &fencedWriter{agent: a, topic: progressTopic, part: 0, epoch: epoch}
-	h.intake = newIntake(h, &fencedWriter{agent: a, topic: jobsTopic, part: holderPartition, epoch: epoch})
+	h.progress = newFencedWriter(a, progressTopic, 0, epoch)
+	h.intake = newIntake(h, newFencedWriter(a, jobsTopic, holderPartition, epoch))
 	h.cloud = platform.NewCloudClient(a.settings.Cloud.Address, a.settings.Node, maxHostOrders)
 	h.advisor = platform.NewAdvisorClient(a.settings.AdvisorAddress)
 	h.adviceQueue = make(chan sched.AdviceRequest, adviceQueueSize)
--- a/agent/holder_test.go
+++ b/agent/holder_test.go
@@ -151,11 +151,11 @@
 	is.Equal(w.attemptTimeout(1), min(2*minAppendTimeout, maxAppendTimeout))
 	is.Equal(w.attemptTimeout(9), maxAppendTimeout)
 	for range 20 {
-		w.recordLatency(8 * time.Millisecond)
+		w.latency.record(8 * time.Millisecond)
 	}
 	is.Equal(w.attemptTimeout(0), minAppendTimeout)
 	for range 20 {
-		w.recordLatency(400 * time.Millisecond) // a slow store
+		w.latency.record(400 * time.Millisecond) // a slow store
 	}
 	is.Equal(w.attemptTimeout(0), maxAppendTimeout)
 }
--- a/agent/recover.go
+++ b/agent/recover.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"maps"
 	"slices"
 	"strings"
@@ -15,21 +16,14 @@
 	"lavenderwing.example/lavenderwing/work"
 )
 
-// recover loads the state of the scheduling from the store. It fences earlier holders first, so that they cannot write anything after the read.
+// recover loads the state of the scheduling from the store.
 func (h *Holder) recover() error {
-	err := inParallel(
-		func() error { return h.progress.fence(h.ctx) },
-		func() error { return h.intake.writer.fence(h.ctx) },
-	)
-	if err != nil {
-		return trace.Wrap(err)
-	}
 	var progress, accepted []platform.Record
 	var direct [directPartitions][]platform.Record
 	var next [directPartitions]int64
 	reads := []func() error{
-		func() (err error) { progress, _, err = h.readNewest(progressTopic, 0); return err },
-		func() (err error) { accepted, _, err = h.readNewest(jobsTopic, holderPartition); return err },
+		func() (err error) { progress, err = h.fenceAndRead(h.progress); return err },
+		func() (err error) { accepted, err = h.fenceAndRead(h.intake.writer); return err },
 	}
 	for n := range directPartitions {
 		reads = append(reads, func() (err error) {
@@ -56,6 +50,68 @@
 	return nil
 }
 
+// fenceAndRead fences the earlier holders of a partition, so that they cannot write anything more, and returns the newest records. While the store is slow, the fence and the read of all records each take long, so they are made at the same time; what was written meanwhile is read after the fence.
+func (h *Holder) fenceAndRead(w *fencedWriter) ([]platform.Record, error) {
+	var records []platform.Record
+	var end int64
+	err := inParallel(
+		func() error { return w.fence(h.ctx) },
+		func() (err error) { records, end, err = h.readNewest(w.topic, w.part); return err },
+	)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	later, err := h.readFrom(w.topic, w.part, end)
+	var expired *platform.ExpiredError
+	if errors.As(err, &expired) {
+		records, _, err = h.readNewest(w.topic, w.part)
+		return records, err
+	}
+	return mergeRecords(records, later), err
+}
+
+// readFrom returns the records of a partition from an offset to its end. It retries until the epoch ends, except if the records have expired.
+func (h *Holder) readFrom(topic string, part int, from int64) ([]platform.Record, error) {
+	var records []platform.Record
+	for {
+		result, err := h.agent.store.Read(topic, part, from, 0, recoverReadTimeout+h.agent.link.pageTime())
+		h.agent.meters.storeReads.Inc(1)
+		var expired *platform.ExpiredError
+		switch {
+		case errors.As(err, &expired):
+			return nil, err
+		case err != nil:
+			h.agent.recordStoreFailure(topic, err)
+			if !sleep(h.ctx, retryPause) {
+				return nil, context.Cause(h.ctx)
+			}
+			continue
+		}
+		records = append(records, result.Records...)
+		if result.NextOffset >= result.EndOffset || result.NextOffset == from {
+			return records, nil
+		}
+		from = result.NextOffset
+	}
+}
+
+// mergeRecords returns the newest record of each key; later holds what was written while the newest records were read page by page. Keys without a value are left out.
+func mergeRecords(newest, later []platform.Record) []platform.Record {
+	byKey := make(map[string]int, len(newest))
+	merged := make([]platform.Record, 0, len(newest))
+	for _, r := range slices.Concat(newest, later) {
+		n, known := byKey[r.Key]
+		switch {
+		case !known:
+			byKey[r.Key] = len(merged)
+			merged = append(merged, r)
+		case r.Offset >= merged[n].Offset:
+			merged[n] = r
+		}
+	}
+	return slices.DeleteFunc(merged, func(r platform.Record) bool { return len(r.Value) == 0 })
+}
+
 // recoverReadTimeout bounds a read during a takeover; a partition with waiting appends responds up to 2 s late.
 const recoverReadTimeout = 2500 * time.Millisecond
 
--- /dev/null
+++ b/agent/recover_test.go
@@ -0,0 +1,86 @@
+package agent
+
+import (
+	"encoding/base64"
+	"encoding/binary"
+	"encoding/json"
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/valyala/fasthttp"
+
+	"lavenderwing.example/lavenderwing/fake"
+	"lavenderwing.example/lavenderwing/platform"
+	"lavenderwing.example/lavenderwing/work"
+)
+
+// startServer serves HTTP at the address until the test ends.
+func startServer(t *testing.T, is *is.I, address string, handler fasthttp.RequestHandler) {
+	listener, err := listenTCP(address)
+	is.NoErr(err)
+	server := &fasthttp.Server{Handler: handler}
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() { _ = server.Shutdown() })
+}
+
+// newestPage is the store's answer with the newest records of a partition, which ends after the last of them.
+func newestPage(records ...platform.Record) string {
+	items, end := []map[string]any{}, int64(0)
+	for _, r := range records {
+		items = append(items, map[string]any{"key": r.Key, "value": base64.StdEncoding.EncodeToString(r.Value), "offset": r.Offset})
+		end = r.Offset + 1
+	}
+	body, err := json.Marshal(map[string]any{"items": items, "has_more": false, "end_offset": end})
+	if err != nil {
+		panic(err)
+	}
+	return string(body)
+}
+
+// TestRecoveryReadsWhatPrecedesTheFence guards against lost records: the newest records are read while the fence is under way, and the predecessor may write until the fence is in force. What it wrote meanwhile, changed and deleted keys included, must be part of the recovered state.
+func TestRecoveryReadsWhatPrecedesTheFence(t *testing.T) {
+	is := is.New(t)
+	address := fake.LoopbackAddresses(1)[0]
+	startServer(t, is, address, func(ctx *fasthttp.RequestCtx) {
+		switch string(ctx.Path()) {
+		case "/log-newest":
+			ctx.SetBodyString(newestPage(
+				platform.Record{Key: "changed", Value: []byte("old"), Offset: 0},
+				platform.Record{Key: "deleted", Value: []byte("old"), Offset: 1},
+				platform.Record{Key: "kept", Value: []byte("old"), Offset: 2},
+			))
+		case "/log-read":
+			is.Equal(string(ctx.QueryArgs().Peek("from")), "3") // the end of the first read
+			body := binary.BigEndian.AppendUint64(nil, 6)
+			body = binary.BigEndian.AppendUint64(body, 0)
+			for _, r := range [][2]string{{"changed", "new"}, {"deleted", ""}, {"added", "new"}} {
+				body = binary.BigEndian.AppendUint32(body, uint32(1+len(r[0])+len(r[1])))
+				body = append(append(append(body, byte(len(r[0]))), r[0]...), r[1]...)
+			}
+			ctx.SetBody(body)
+		default:
+			ctx.SetBodyString(`{"offset":6,"end_offset":6}`)
+		}
+	})
+	a, err := New(work.Settings{Node: "n", IP: "127.0.0.1", InternalPorts: [2]int{1, 2}, Store: work.StoreLimits{Address: address}})
+	is.NoErr(err)
+	h := newHolder(a, 2)
+	records, err := h.fenceAndRead(h.progress)
+	is.NoErr(err)
+	values := map[string]string{}
+	for _, r := range records {
+		values[r.Key] = string(r.Value)
+	}
+	is.Equal(values, map[string]string{"changed": "new", "kept": "old", "added": "new"})
+}
+
+// TestNewestRecordsAreNeverReplacedByOlderOnes guards against a state that goes backwards: pages of newest records are not a snapshot and may be newer than the records that are read from the end of the first page.
+func TestNewestRecordsAreNeverReplacedByOlderOnes(t *testing.T) {
+	is := is.New(t)
+	merged := mergeRecords(
+		[]platform.Record{{Key: "k", Value: []byte("newest"), Offset: 9}},
+		[]platform.Record{{Key: "k", Value: []byte("older"), Offset: 5}},
+	)
+	is.Equal(len(merged), 1)
+	is.Equal(string(merged[0].Value), "newest")
+}
--- a/agent/stream.go
+++ b/agent/stream.go
@@ -19,8 +19,6 @@
 	maxAppendTimeout = 800 * time.Millisecond
 	// appendTimeoutFactor is the timeout of the first attempt as a multiple of the average latency, within the bounds above.
 	appendTimeoutFactor = 4
-	// latencyWeight is the weight of the newest latency in the moving average.
-	latencyWeight = 0.3
 )
 
 // appendRetryPause is the pause before an append is retried.
@@ -34,30 +32,52 @@
 	epoch int64
 	// nextSequence is the sequence number of the next append.
 	nextSequence int64
-	// averageLatency is the moving average of the latency of appends, in nanoseconds.
-	averageLatency float64
+	// latency is the average latency of appends.
+	latency latencyAverage
 	// failingSince is when the first failed attempt since the last success began, 0 if no attempt has failed since.
 	failingSince atomic.Int64
 	// confirmedAt is when the last successful append began. At that time no later holder had fenced the partition, because its fence would have made the append fail.
 	confirmedAt atomic.Int64
 }
 
+func newFencedWriter(a *Agent, topic string, part int, epoch int64) *fencedWriter {
+	return &fencedWriter{agent: a, topic: topic, part: part, epoch: epoch, latency: latencyAverage{average: a.storeLatency.get()}}
+}
+
 // fence raises the producer's epoch at the store by an append without records, so that appends of earlier holders fail.
 func (w *fencedWriter) fence(ctx context.Context) error {
 	_, err := w.append(ctx, nil)
 	return err
 }
 
+// appendResult is the result of an attempt that was answered.
+type appendResult struct {
+	offset int64
+	began  time.Duration
+	took   time.Duration
+}
+
+// isDecisive reports whether a further attempt of an append would fail in the same way.
+func isDecisive(err error) bool {
+	var fenced *platform.FencedError
+	var sequence *platform.SequenceError
+	return errors.As(err, &fenced) || errors.As(err, &sequence)
+}
+
 // append writes the records and returns the offset of the first, or -1 if the offset is not known because the response was lost. It retries after every error except a platform.FencedError and an unexplained platform.SequenceError, until the append is known to be written or the context ends.
 func (w *fencedWriter) append(ctx context.Context, records []platform.Record) (int64, error) {
-	for attempt := 0; ; attempt++ {
+	attempts := 0
+	for round := 0; ; round++ {
 		began := w.agent.clock.Now()
-		offset, err := w.agent.store.Append(w.topic, w.part, records, &platform.Producer{Name: producerName, Epoch: w.epoch, Sequence: w.nextSequence}, w.attemptTimeout(attempt))
-		w.agent.meters.storeWrites.Inc(1)
+		result, made, err := hedged(ctx, w.latency.get(), w.attempt(records, w.attemptTimeout(round)), isDecisive)
+		attempts += made
 		if err == nil {
-			w.recordLatency(w.agent.clock.Now() - began)
-			w.recordWritten(began)
-			return offset, nil
+			w.latency.record(result.took)
+			w.recordWritten(result.began)
+			return result.offset, nil
+		}
+		if ctx.Err() != nil {
+			return 0, ctx.Err()
 		}
 		var fenced *platform.FencedError
 		if errors.As(err, &fenced) {
@@ -66,7 +86,7 @@
 		var sequence *platform.SequenceError
 		if errors.As(err, &sequence) && sequence.Expected >= 0 && sequence.Expected != w.nextSequence {
 			switch {
-			case attempt > 0 && sequence.Expected == w.nextSequence+1:
+			case attempts > 1 && sequence.Expected == w.nextSequence+1:
 				// An earlier attempt was written, but its response was lost.
 				w.recordWritten(began)
 				return -1, nil
@@ -93,15 +113,21 @@
 	w.agent.recordStoreAnswer()
 }
 
-// recordLatency adds the latency of an append to the moving average.
-func (w *fencedWriter) recordLatency(took time.Duration) {
-	w.averageLatency += latencyWeight * (float64(took) - w.averageLatency)
+// attempt returns a function that makes one attempt to append the records with the next sequence number.
+func (w *fencedWriter) attempt(records []platform.Record, timeout time.Duration) func() (appendResult, error) {
+	producer := &platform.Producer{Name: producerName, Epoch: w.epoch, Sequence: w.nextSequence}
+	return func() (appendResult, error) {
+		began := w.agent.clock.Now()
+		offset, err := w.agent.store.Append(w.topic, w.part, records, producer, timeout)
+		w.agent.meters.storeWrites.Inc(1)
+		return appendResult{offset: offset, began: began, took: w.agent.clock.Now() - began}, err
+	}
 }
 
-// attemptTimeout is the timeout of an attempt; it doubles with each attempt up to maxAppendTimeout.
-func (w *fencedWriter) attemptTimeout(attempt int) time.Duration {
-	first := max(time.Duration(appendTimeoutFactor*w.averageLatency), minAppendTimeout)
-	return min(first<<min(attempt, 3), maxAppendTimeout)
+// attemptTimeout is the timeout of the attempts of a round; it doubles with each round up to maxAppendTimeout.
+func (w *fencedWriter) attemptTimeout(round int) time.Duration {
+	first := max(appendTimeoutFactor*w.latency.get(), minAppendTimeout)
+	return min(first<<min(round, 3), maxAppendTimeout)
 }
 
 // failingFor returns how long ago the first failed attempt since the last success began, 0 if none has failed since.
