Orders to targets are repeated while they are unanswered

One lost answer held up the target's queued orders for 400 ms and its pause, and marked the target unreachable until a renewal answered, up to 1.9 s later, because the renewal paused and then polled; nothing was placed there meanwhile. Ruled out: shorter timeouts, which give up slow targets. Change: starts and stops are repeated after five times the target's latency, at most twice; a start with an unanswered attempt is kept as one that a later incarnation may get. After one unanswered renewal the target is asked again at once, without a poll; polls are short for 3 s after a loss. Paces are not repeated: an earlier one that arrives late would undo a later one.

--- a/agent/driver.go
+++ b/agent/driver.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -26,6 +27,8 @@
 	orderRetryPause = 150 * time.Millisecond
 	// renewRetryPause is the pause after a renewal without a reply, and between checks of whether the holder may renew leases again.
 	renewRetryPause = 300 * time.Millisecond
+	// lossyPeriod is how long after an unanswered order the target's renewals poll shortly, because they may be left unanswered too.
+	lossyPeriod = 3 * time.Second
 	// maxIdleWait is the longest time that the driver of an idle target waits for an order before it checks again whether the target needs a renewal.
 	maxIdleWait = 5 * time.Second
 )
@@ -40,6 +43,9 @@
 	closeOnce sync.Once
 	// renewNow wakes renewLoop while the target is idle, when an order is queued or the target has reported itself to the store.
 	renewNow chan struct{}
+	// latency is the average latency of orders, and lossyUntil the time until which renewals poll shortly because orders were left unanswered.
+	latency    latencyAverage
+	lossyUntil atomic.Int64
 
 	mu           sync.Mutex
 	orders       []sched.Order
@@ -117,9 +123,9 @@
 		}
 		poll := renewPoll
 		switch {
-		case r.LeaseExpiryMs == 0:
+		case r.LeaseExpiryMs == 0 || r.Unreachable:
 			poll = 0
-		case r.ShortPoll:
+		case r.ShortPoll || now < time.Duration(d.lossyUntil.Load()):
 			poll = shortRenewPoll
 		}
 		reply, err := d.client.RenewLease(r.LeaseExpiryMs, h.table.Token(), r.AcknowledgedEnd, poll, poll+orderTimeout)
@@ -143,6 +149,10 @@
 	h.mu.Unlock()
 	h.wakeLoop()
 	switch {
+	case err != nil && !r.Unreachable:
+		// A single lost answer is no sign that the target is gone; it is asked again at once, and without a poll.
+		d.lossyUntil.Store(int64(now + lossyPeriod))
+		return true
 	case err != nil:
 		return d.pause(renewRetryPause)
 	// The reply has told the target's clock, and the next renewal can extend the lease without a pause.
@@ -192,6 +202,30 @@
 	}
 }
 
+// startRun orders a run. If an attempt stays unanswered, its start may still be delivered to a later incarnation of the target.
+func (d *driver) startRun(o sched.StartOrder) (work.OrderReply, error) {
+	reply, made, err := d.hedge(func() (work.OrderReply, error) { return d.client.StartRun(o.Start, orderTimeout) })
+	if made > 1 {
+		d.lossyUntil.Store(int64(d.holder.agent.clock.Now() + lossyPeriod))
+		d.holder.mu.Lock()
+		d.holder.table.StartOutstanding(o, d.holder.agent.clock.Now())
+		d.holder.mu.Unlock()
+	}
+	return reply, err
+}
+
+// hedge makes a call to the target that may be repeated, and repeats it while it is unanswered.
+func (d *driver) hedge(call func() (work.OrderReply, error)) (work.OrderReply, int, error) {
+	return hedged(d.holder.ctx, d.latency.get(), func() (work.OrderReply, error) {
+		began := d.holder.agent.clock.Now()
+		reply, err := call()
+		if err == nil {
+			d.latency.record(d.holder.agent.clock.Now() - began)
+		}
+		return reply, err
+	}, func(error) bool { return false })
+}
+
 func (d *driver) nextOrder() (sched.Order, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -240,11 +274,12 @@
 	var err error
 	switch o := o.(type) {
 	case sched.StartOrder:
-		reply, err = d.client.StartRun(start.Start, orderTimeout)
+		reply, err = d.startRun(start)
 		h.agent.meters.starts.Inc(1)
 	case sched.StopOrder:
-		reply, err = d.client.StopRun(o.Item, o.Run, h.epoch, orderTimeout)
+		reply, _, err = d.hedge(func() (work.OrderReply, error) { return d.client.StopRun(o.Item, o.Run, h.epoch, orderTimeout) })
 	case sched.PaceOrder:
+		// A pace is not repeated, because an earlier one that arrives late would undo a later one.
 		reply, err = d.client.Throttle(o.Item, o.Run, o.Percent, h.epoch, orderTimeout)
 	}
 	if err != nil {
--- a/sched/incarnation.go
+++ b/sched/incarnation.go
@@ -69,6 +69,11 @@
 // StartUnanswered records that a start got no answer and may still be delivered, and that its target is unreachable.
 func (t *Table) StartUnanswered(o StartOrder, now time.Duration) {
 	t.CallUnanswered(o.Target)
+	t.StartOutstanding(o, now)
+}
+
+// StartOutstanding records that an attempt of a start got no answer and may still be delivered, although another attempt may have been answered.
+func (t *Table) StartOutstanding(o StartOrder, now time.Duration) {
 	tgt, ok := t.targets[o.Target]
 	if !ok {
 		return
--- a/sched/renew.go
+++ b/sched/renew.go
@@ -16,6 +16,8 @@
 	ShortPoll bool
 	// Needed is false if the target knows this holder, runs nothing, has no recorded end to forget, and showed no unexpected run in its last reply.
 	Needed bool
+	// Unreachable means that the last call to the target got no answer.
+	Unreachable bool
 	// ClockUnknown means that the target runs something, but its lease cannot be extended before a reply shows its clock.
 	ClockUnknown bool
 }
@@ -26,7 +28,7 @@
 	if !ok {
 		return Renewal{}
 	}
-	r := Renewal{AcknowledgedEnd: tgt.lastRecordedEnd, Needed: !tgt.acquired || len(tgt.runs) > 0 || tgt.lastRecordedEnd > tgt.lastAcknowledgedEnd || tgt.orphanUsage != work.Resources{}}
+	r := Renewal{AcknowledgedEnd: tgt.lastRecordedEnd, Unreachable: tgt.unreachable, Needed: !tgt.acquired || len(tgt.runs) > 0 || tgt.lastRecordedEnd > tgt.lastAcknowledgedEnd || tgt.orphanUsage != work.Resources{}}
 	if len(tgt.runs) > 0 {
 		r.LeaseExpiryMs = tgt.extendLease(now, leaseDuration)
 		r.ClockUnknown = r.LeaseExpiryMs == 0
--- a/sched/script_test.go
+++ b/sched/script_test.go
@@ -142,11 +142,14 @@
 		sr.answerRenewal(args[0], o)
 	case "callUnanswered": // TARGET
 		sr.table.CallUnanswered(work.TargetID(args[0]))
-	case "renewal": // TARGET [shortPoll=yes|no] [needed=yes|no]: prepares a renewal, which extends the lease, and checks it
+	case "renewal": // TARGET [shortPoll=yes|no] [needed=yes|no] [unreachable=yes|no]: prepares a renewal, which extends the lease, and checks it
 		r := sr.table.PrepareRenewal(work.TargetID(args[0]), sr.now)
 		if want, ok := o["shortPoll"]; ok {
 			sr.is.Equal(r.ShortPoll, want == "yes") // the target should answer soon
 		}
+		if want, ok := o["unreachable"]; ok {
+			sr.is.Equal(r.Unreachable, want == "yes") // the target is asked without a poll
+		}
 		if want, ok := o["needed"]; ok {
 			sr.is.Equal(r.Needed, want == "yes") // the target is to be renewed
 		}
@@ -170,6 +173,8 @@
 		}
 	case "startUnanswered": // ITEM target=NAME run=N
 		sr.table.StartUnanswered(StartOrder{Target: work.TargetID(o["target"]), Start: work.StartRequest{Item: sr.parseItem(args[0]), Run: parseNumber(o["run"])}}, sr.now)
+	case "startOutstanding": // ITEM target=NAME run=N: one of several attempts is unanswered
+		sr.table.StartOutstanding(StartOrder{Target: work.TargetID(o["target"]), Start: work.StartRequest{Item: sr.parseItem(args[0]), Run: parseNumber(o["run"])}}, sr.now)
 	case "startAnswered": // ITEM target=NAME [run=N] answer=done|fenced|old|late|room|unhealthy|other|ticket [clock=MS]
 		sr.answerStart(args[0], o)
 	case "stopAnswered": // ITEM target=NAME run=N [revokes]
