Hosts may be ordered at once when their last order is old by any clock

Ruled out: no wait after a kill: the successor cannot prove that the predecessor's host was killed too. Change: process times of two hosts differ by at most twice the platform's largest jump, so an order that is older than that and the handover delay is old.

--- a/sched/handover.go
+++ b/sched/handover.go
@@ -12,8 +12,17 @@
 	ReadAt    time.Duration
 }
 
-// minOrderAge returns a lower bound for the time since an earlier holder recorded an order for a host.
-func (c PredecessorClock) minOrderAge(token, issuedMs int64, now time.Duration) time.Duration {
+// maxProcessTimeError is how much the process times of two hosts may differ: the platform expects the time of day to jump by up to 5 s on each of them, and a process that starts after a jump keeps it.
+const maxProcessTimeError = 10 * time.Second
+
+// minOrderAge returns a lower bound for the time since an earlier holder recorded an order for a host. Both issuedMs and processMs, the present time, are process times, but of different processes.
+func (c PredecessorClock) minOrderAge(token, issuedMs, processMs int64, now time.Duration) time.Duration {
+	unknown := time.Duration(processMs-issuedMs)*time.Millisecond - maxProcessTimeError
+	return max(unknown, c.knownOrderAge(token, issuedMs, now))
+}
+
+// knownOrderAge returns the lower bound that follows from the earlier holder's heartbeat replies, 0 if there were none.
+func (c PredecessorClock) knownOrderAge(token, issuedMs int64, now time.Duration) time.Duration {
 	switch {
 	case c.Epoch == 0 || token > c.Epoch:
 		return 0
@@ -37,7 +46,7 @@
 	if last.FencingToken == 0 || last.FencingToken == t.token || (last.Node == t.node && t.node != "") {
 		return true
 	}
-	age := max(now-t.tookOverAt, t.predecessor.minOrderAge(last.FencingToken, last.IssuedMs, now))
+	age := max(now-t.tookOverAt, t.predecessor.minOrderAge(last.FencingToken, last.IssuedMs, t.processMs(now), now))
 	return age > t.handoverDelay()
 }
 
