A cancellation is answered only once the store holds it

Cause: the answer to a DELETE waited for the next batch that held the job, and that batch may have been taken before the cancellation; and a second DELETE was answered at once while the record was still being written. If the holder died then, its successor did not know of the cancellation and started the job's items (rule UNASKED). Ruled out: lost records (both batches are written before their answers); the direct partitions (nothing writes cancellations there). Change: callers wait for a batch with the job's final state; a cancelled job counts as not recorded until its final state is.

--- a/agent/holder.go
+++ b/agent/holder.go
@@ -268,7 +268,7 @@
 	return err
 }
 
-// finishBatch sends the orders of a batch that is written and wakes the callers whose cancellations it records. The write began at flushedAt.
+// finishBatch sends the orders of a batch that is written and wakes the callers who wait for a final state that it records. The write began at flushedAt.
 func (h *Holder) finishBatch(b *sched.Batch, flushedAt time.Duration) {
 	for _, o := range b.HostOrders {
 		go h.sendHostOrder(o, flushedAt)
@@ -278,7 +278,7 @@
 	h.table.Flushed(b)
 	h.dispatch(b.Orders)
 	h.wakeAcknowledged(b)
-	for _, id := range b.Jobs() {
+	for _, id := range b.EndedJobs() {
 		for _, c := range h.cancelWaiters[id] {
 			close(c)
 		}
--- a/agent/holder_test.go
+++ b/agent/holder_test.go
@@ -200,3 +200,32 @@
 	is.True(h.checkMayRenew())
 	is.Equal(lines.Len(), 2) // one line for the loss and one for the return
 }
+
+// TestCancellationIsAnsweredOnceRecorded guards against a caller who is told that a job is cancelled before the store holds it: the holder dies, and its successor starts the job's items. A batch that was taken before the cancellation holds the job, but not its cancellation.
+func TestCancellationIsAnsweredOnceRecorded(t *testing.T) {
+	is := is.New(t)
+	_, h := newTestAgent(t)
+	job := &work.Job{ID: "0000000000000001", Queue: "q", Steps: []work.Step{{Count: 2, Demand: work.Resources{CPU: 1, MemMB: 1}}}}
+	h.table.Configure(&work.Config{Version: 1, Pools: []work.Pool{{Name: "p"}}, Queues: []work.Queue{{Name: "q", Pool: "p", MaxAttempts: 1, SlackFactor: 1}}})
+	h.table.Accept(job, time.Second)
+	h.table.UpsertTarget(work.Target{ID: "i-1", Pool: "p", Address: "a", Capacity: work.Resources{CPU: 1, MemMB: 1}}, time.Second)
+	h.table.RenewalAnswered("i-1", work.RenewalReply{ClockMs: 1}, 0, time.Second, time.Second)
+	h.table.Plan(time.Second)
+	earlier, err := h.nextBatch()
+	is.NoErr(err)
+	is.True(earlier != nil) // it records the start of an item
+
+	is.True(h.table.Cancel(job.ID, time.Second))
+	recorded := make(chan struct{})
+	h.cancelWaiters[job.ID] = []chan struct{}{recorded}
+	h.finishBatch(earlier, 0)
+	select {
+	case <-recorded:
+		t.Fatal("the cancellation is answered although no batch holds it")
+	default:
+	}
+	later, err := h.nextBatch()
+	is.NoErr(err)
+	h.finishBatch(later, 0)
+	<-recorded
+}
--- a/sched/flush.go
+++ b/sched/flush.go
@@ -38,11 +38,13 @@
 	number      int64
 }
 
-// Jobs returns the identifiers of the jobs whose progress the batch holds.
-func (b *Batch) Jobs() []work.JobID {
-	ids := make([]work.JobID, len(b.jobs))
+// EndedJobs returns the identifiers of the jobs whose final state the batch holds. A batch that was taken before a job was cancelled may hold the job's progress without the cancellation.
+func (b *Batch) EndedJobs() []work.JobID {
+	var ids []work.JobID
 	for i, j := range b.jobs {
-		ids[i] = j.record.ID
+		if b.states[i].Final() {
+			ids = append(ids, j.record.ID)
+		}
 	}
 	return ids
 }
--- a/sched/table.go
+++ b/sched/table.go
@@ -215,16 +215,13 @@
 	return n
 }
 
-// Cancel marks a job cancelled and reports whether the job's record is still to be written.
+// Cancel marks a job cancelled and reports whether the store does not hold the job's final state yet.
 func (t *Table) Cancel(id work.JobID, now time.Duration) bool {
 	j, ok := t.jobs[id]
 	if !ok || j.recordedState.Final() {
 		return false
 	}
-	if j.cancelled {
-		return j.dirty
-	}
-	if j.state.Final() {
+	if j.cancelled || j.state.Final() {
 		return true
 	}
 	j.cancelled = true
--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"errors"
 	"io"
 	"net"
 	"sync"
@@ -19,6 +20,8 @@
 	droppingReplies
 	// droppingAll drops what both sides send and keeps the connections open.
 	droppingAll
+	// stalling holds back what the process sends, as a network that drops packets does, and delivers it once the mode changes, unless the process has reset the connection meanwhile.
+	stalling
 	// resetting closes all open connections, and each new one as soon as it is accepted.
 	resetting
 	proxyModeCount
@@ -27,7 +30,7 @@
 // proxyDelay is how long a delaying proxy holds back each chunk; it is much longer than the store usually takes to reply.
 const proxyDelay = 150 * time.Millisecond
 
-// proxy forwards the connections of one process to the store, and injects network faults.
+// proxy forwards the connections of one process to the store or the cloud, and injects network faults.
 type proxy struct {
 	listener net.Listener
 	target   string
@@ -90,6 +93,37 @@
 	p.mu.Unlock()
 }
 
+// stallCheckInterval is how often a stalled connection is checked for the end of the stall.
+const stallCheckInterval = 20 * time.Millisecond
+
+// hold collects what the process sends until the proxy stalls no more, and then delivers it and goes on forwarding. If the process resets the connection before, everything is dropped.
+func (p *proxy) hold(to, from net.Conn, held []byte) {
+	held = append([]byte(nil), held...)
+	buffer := make([]byte, 32<<10)
+	closed := false
+	for proxyMode(p.mode.Load()) == stalling {
+		if closed {
+			time.Sleep(stallCheckInterval)
+			continue
+		}
+		_ = from.SetReadDeadline(time.Now().Add(stallCheckInterval))
+		n, err := from.Read(buffer)
+		held = append(held, buffer[:n]...)
+		var timeout net.Error
+		switch {
+		case errors.Is(err, io.EOF):
+			closed = true
+		case errors.As(err, &timeout) && timeout.Timeout():
+		case err != nil:
+			return
+		}
+	}
+	_ = from.SetReadDeadline(time.Time{})
+	if _, err := to.Write(held); err == nil && !closed {
+		p.copy(to, from, false)
+	}
+}
+
 // copy forwards bytes from one connection to the other as the mode requires; fromStore is true if the store sends them.
 func (p *proxy) copy(to, from net.Conn, fromStore bool) {
 	defer func() { _, _ = to.Close(), from.Close() }()
@@ -100,6 +134,9 @@
 			switch m := proxyMode(p.mode.Load()); {
 			case m == delaying:
 				time.Sleep(proxyDelay)
+			case m == stalling && !fromStore:
+				p.hold(to, from, buffer[:n])
+				return
 			case m == droppingAll, m == droppingReplies && fromStore:
 				_, _ = io.Copy(io.Discard, from)
 				return
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -41,7 +41,7 @@
 
 const (
 	soakNodes   = 4
-	soakTargets = 4
+	soakTargets = 10
 	// maxStatePolls bounds how often the state of each job is polled after the faults. The polls are 50 ms apart, so that
 	// a job has 30 s to complete.
 	maxStatePolls = 600
@@ -51,6 +51,8 @@
 	minPause         = 200 * time.Millisecond
 	maxPause         = 1200 * time.Millisecond
 	maxFaultDuration = 2 * time.Second
+	// stallDuration is longer than a takeover and the successor's wait before it orders a host that the predecessor ordered.
+	stallDuration = 7 * time.Second
 )
 
 // TestSoak submits jobs to four nodes while processes are killed or paused, targets stop responding and the store fails,
@@ -102,7 +104,9 @@
 type node struct {
 	name, front, ready, settingsFile string
 	proxy                            *proxy
-	log                              *os.File
+	// cloudProxy stands between the process and the cloud.
+	cloudProxy *proxy
+	log        *os.File
 
 	mu      sync.Mutex
 	command *exec.Cmd
@@ -116,7 +120,8 @@
 	s.platform = p
 	t.Cleanup(p.Close)
 	s.is.NoErr(p.Configure(&work.Config{
-		Version: 1, Pools: []work.Pool{{Name: "pool"}},
+		// Idle hosts are ordered to the standby pool again and again, because the cloud refuses.
+		Version: 1, Pools: []work.Pool{{Name: "pool"}, {Name: "standby", Standby: true}},
 		Queues: []work.Queue{{Name: "q", Host: "jobs.example", PathPrefix: "/q/", Pool: "pool", Public: true, MaxAttempts: 9, SlackFactor: 20, FixedSlackMs: 60000}},
 	}))
 	for n := range soakNodes {
@@ -126,18 +131,21 @@
 }
 
 func (s *soak) addNode(index int) {
-	// The addresses are those of callers, of readiness, of the proxy, and of the two internal ports.
-	addresses := fake.LoopbackAddresses(5)
+	// The addresses are those of callers, of readiness, of the proxy to the store, of the two internal ports, and of the proxy to the cloud.
+	addresses := fake.LoopbackAddresses(6)
 	ip, port, err := net.SplitHostPort(addresses[3])
 	s.is.NoErr(err)
 	first, err := strconv.Atoi(port)
 	s.is.NoErr(err)
 	proxy, err := newProxy(addresses[2], s.platform.Store.Address)
 	s.is.NoErr(err)
+	cloudProxy, err := newProxy(addresses[5], s.platform.CloudAddress)
+	s.is.NoErr(err)
 	dir := s.TempDir()
-	n := &node{name: fmt.Sprintf("node%d", index), front: addresses[0], ready: addresses[1], proxy: proxy, settingsFile: filepath.Join(dir, "settings.toml")}
+	n := &node{name: fmt.Sprintf("node%d", index), front: addresses[0], ready: addresses[1], proxy: proxy, cloudProxy: cloudProxy, settingsFile: filepath.Join(dir, "settings.toml")}
 	text := s.platform.Settings(n.name, ip, addresses[0], addresses[1], first, first+1)
 	text = strings.Replace(text, s.platform.Store.Address, addresses[2], 1)
+	text = strings.Replace(text, s.platform.CloudAddress, addresses[5], 1)
 	s.is.NoErr(os.WriteFile(n.settingsFile, []byte(text), 0o600))
 	n.log, err = os.Create(filepath.Join(dir, "log"))
 	s.is.NoErr(err)
@@ -147,6 +155,7 @@
 		n.signal(syscall.SIGCONT)
 		n.signal(syscall.SIGKILL)
 		_ = proxy.listener.Close()
+		_ = cloudProxy.listener.Close()
 		if s.Failed() {
 			s.saveLog(n)
 		}
@@ -205,11 +214,11 @@
 }
 
 // injectFault starts a random fault at a random node, at a random target or at the store, and ends it after a random
-// duration. Of the eight kinds, the last two are faults of the network between the node and the store.
+// duration. Of the nine kinds, the last two are faults of the network between the node and the store.
 func (s *soak) injectFault() {
 	n := s.nodes[s.Intn(len(s.nodes))]
 	duration := time.Duration(s.Int63n(int64(maxFaultDuration)))
-	kind, target := s.Intn(8), s.platform.Targets[s.Intn(soakTargets)]
+	kind, target := s.Intn(9), s.platform.Targets[s.Intn(soakTargets)]
 	mode := proxyMode(1 + s.Intn(int(proxyModeCount)-1))
 	s.faults.Add(1)
 	go func() {
@@ -244,6 +253,13 @@
 		case 5:
 			// The process reloads its settings.
 			n.signal(syscall.SIGHUP)
+		case 6:
+			// The network between the process and the platform drops all packets for longer than a successor waits before it orders the same hosts; what the process has sent arrives afterwards.
+			n.proxy.setMode(droppingAll)
+			n.cloudProxy.setMode(stalling)
+			time.Sleep(stallDuration)
+			n.proxy.setMode(passing)
+			n.cloudProxy.setMode(passing)
 		default:
 			// The proxy between the node and the store is in one of its modes other than passing.
 			n.proxy.setMode(mode)
@@ -340,5 +356,5 @@
 	if violations := s.platform.Checker.Violations(); len(violations) > 0 {
 		s.Fatalf("platform rules violated: %v", violations)
 	}
-	s.Logf("%d jobs accepted and completed, %d refused, %d starts", len(s.accepted), s.refusedCount, s.platform.Checker.StartCount())
+	s.Logf("%d jobs accepted and completed, %d refused, %d starts, %d orders for hosts", len(s.accepted), s.refusedCount, s.platform.Checker.StartCount(), s.platform.Checker.HostOrderCount())
 }
