--- a/agent/config.go
+++ b/agent/config.go
@@ -53,11 +53,13 @@
 	}
 }
 
-// applyOperatorUpdate applies a configuration or a maintenance wave.
+// applyOperatorUpdate applies a configuration or a maintenance wave, or logs a record that is neither.
 func (a *Agent) applyOperatorUpdate(u platform.Update) {
 	switch u := u.(type) {
 	case platform.ConfigUpdate:
 		a.applyConfig(u.Config, u.Raw, "store")
+	case platform.MalformedUpdate:
+		a.log.Error("cannot decode a record of operators", zap.String("key", u.Key), zap.Error(u.Cause))
 	case platform.WaveUpdate:
 		a.mu.Lock()
 		_, known := a.waves[u.Wave.Number]
--- a/agent/stream.go
+++ b/agent/stream.go
@@ -61,10 +61,11 @@
 func isDecisive(err error) bool {
 	var fenced *platform.FencedError
 	var sequence *platform.SequenceError
-	return errors.As(err, &fenced) || errors.As(err, &sequence)
+	var tooLong *platform.KeyTooLongError
+	return errors.As(err, &fenced) || errors.As(err, &sequence) || errors.As(err, &tooLong)
 }
 
-// append writes the records and returns the offset of the first, or -1 if the offset is not known because the response was lost. It retries after every error except a platform.FencedError and an unexplained platform.SequenceError, until the append is known to be written or the context ends.
+// append writes the records and returns the offset of the first, or -1 if the offset is not known because the response was lost. It retries after every error except a platform.FencedError, a platform.KeyTooLongError and an unexplained platform.SequenceError, until the append is known to be written or the context ends.
 func (w *fencedWriter) append(ctx context.Context, records []platform.Record) (int64, error) {
 	attempts := 0
 	for round := 0; ; round++ {
@@ -80,7 +81,8 @@
 			return 0, ctx.Err()
 		}
 		var fenced *platform.FencedError
-		if errors.As(err, &fenced) {
+		var tooLong *platform.KeyTooLongError
+		if errors.As(err, &fenced) || errors.As(err, &tooLong) {
 			return 0, err
 		}
 		var sequence *platform.SequenceError
--- a/alloc/outlier.go
+++ b/alloc/outlier.go
@@ -9,6 +9,8 @@
 	ejectReportWindow = 3 * time.Second
 	ejectBaseTime     = 4 * time.Second
 	ejectMaxTime      = time.Minute
+	// maxEjectionDoublings reaches ejectMaxTime from ejectBaseTime.
+	maxEjectionDoublings = 4
 	// probationTime is how long a target has one slot after its ejection ends, before it has all slots again.
 	probationTime = 2 * time.Second
 	// minAvailablePercent is the minimum percentage of a service's targets that stay available even if all are reported as failing.
@@ -87,7 +89,7 @@
 	if now.Sub(o.probationUntil) > ejectMaxTime {
 		o.ejections = 0
 	}
-	o.ejectedUntil = now.Add(min(ejectBaseTime<<o.ejections, ejectMaxTime))
+	o.ejectedUntil = now.Add(min(ejectBaseTime<<min(o.ejections, maxEjectionDoublings), ejectMaxTime))
 	o.probationUntil = o.ejectedUntil.Add(probationTime)
 	o.ejections++
 }
--- a/alloc/outlier_test.go
+++ b/alloc/outlier_test.go
@@ -71,6 +71,20 @@
 	is.Equal(totalCredits(procs, "h0"), 1)
 }
 
+// TestManyEjectionsStayLong guards against a target that is never ejected again: the doubled time overflowed after 32 ejections and became 0.
+func TestManyEjectionsStayLong(t *testing.T) {
+	is := is.New(t)
+	o, now := &outlier{}, time.Unix(1000, 0)
+	for range 100 {
+		o.eject(now)
+		is.True(o.ejectedUntil.After(now))
+		now = o.probationUntil
+	}
+	is.Equal(o.probationUntil.Sub(o.ejectedUntil), probationTime)
+	o.eject(now)
+	is.Equal(o.ejectedUntil.Sub(now), ejectMaxTime)
+}
+
 // TestSingleReporterEjectsNothing checks that the reports of one process alone never eject a target for all, because the fault may be on the side of that process.
 func TestSingleReporterEjectsNothing(t *testing.T) {
 	is := is.New(t)
