--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"regexp"
 	"strconv"
 	"strings"
 	"sync"
@@ -53,6 +54,8 @@
 	maxFaultDuration = 2 * time.Second
 	// stallDuration is longer than a takeover and the successor's wait before it orders a host that the predecessor ordered.
 	stallDuration = 7 * time.Second
+	// stallLead is long enough for several orders for hosts to be given.
+	stallLead = 500 * time.Millisecond
 )
 
 // TestSoak submits jobs to four nodes while processes are killed or paused, targets stop responding and the store fails,
@@ -254,12 +257,7 @@
 			// The process reloads its settings.
 			n.signal(syscall.SIGHUP)
 		case 6:
-			// The network between the process and the platform drops all packets for longer than a successor waits before it orders the same hosts; what the process has sent arrives afterwards.
-			n.proxy.setMode(droppingAll)
-			n.cloudProxy.setMode(stalling)
-			time.Sleep(stallDuration)
-			n.proxy.setMode(passing)
-			n.cloudProxy.setMode(passing)
+			s.stallHolder()
 		default:
 			// The proxy between the node and the store is in one of its modes other than passing.
 			n.proxy.setMode(mode)
@@ -269,6 +267,37 @@
 	}()
 }
 
+// stallHolder lets the network between the holder and the platform drop all packets for longer than a successor waits before it orders the same hosts; what the holder has sent arrives afterwards. The cloud is cut off first, so that orders are under way when the store is cut off too.
+func (s *soak) stallHolder() {
+	n := s.holder()
+	n.cloudProxy.setMode(stalling)
+	time.Sleep(stallLead)
+	n.proxy.setMode(droppingAll)
+	time.Sleep(stallDuration)
+	n.proxy.setMode(passing)
+	n.cloudProxy.setMode(passing)
+}
+
+// holder returns the node that logged the highest epoch.
+func (s *soak) holder() *node {
+	highest, holder := -1, s.nodes[0]
+	for _, n := range s.nodes {
+		b, err := os.ReadFile(n.log.Name())
+		if err != nil {
+			continue
+		}
+		for _, found := range holdingLine.FindAllSubmatch(b, -1) {
+			if epoch, err := strconv.Atoi(string(found[1])); err == nil && epoch > highest {
+				highest, holder = epoch, n
+			}
+		}
+	}
+	return holder
+}
+
+// holdingLine is the log line of a process that begins an epoch.
+var holdingLine = regexp.MustCompile(`"msg":"holding","epoch":(\d+)`)
+
 // submitJobs submits jobs until ctx ends. It records the accepted jobs, which must complete, and tells the checker which
 // jobs were refused at every attempt, because no item of these may start.
 func (s *soak) submitJobs(ctx context.Context, worker int) {
