The wait before ordering another holder's hosts begins with the fence

Cause: a successor counted its wait from its claim, but its predecessor can record orders until the store's fence is in force, which takes seconds while the store is slow: 4 s after the claim may be less than 2.5 s after the last order. Ruled out: counting from the predecessor's claim, for the reason above. Change: the wait counts from the end of the recovery's fences, and replies to heartbeats tell when the predecessor's fences were in force. Tests: a script for the slow fence; the one for older holders now has a process that has just started.

--- a/agent/follow.go
+++ b/agent/follow.go
@@ -97,16 +97,7 @@
 		a.members[m.Address] = member{heardAt: now, share: m.Share}
 	}
 	a.detector.RecordHeartbeat(holder.Epoch, reply.Troubled, now)
-	a.predecessor = readPredecessor(a.predecessor, holder.Epoch, reply.WallMs, now)
-}
-
-// readPredecessor updates what is known of the holder's clock by a heartbeat reply.
-func readPredecessor(c sched.PredecessorClock, epoch, processMs int64, now time.Duration) sched.PredecessorClock {
-	if c.Epoch != epoch {
-		c = sched.PredecessorClock{Epoch: epoch, LearnedAt: now}
-	}
-	c.ReadingMs, c.ReadAt = processMs, now
-	return c
+	a.predecessor = sched.PredecessorClock{Epoch: holder.Epoch, FencedMs: reply.FencedMs, ReadingMs: reply.WallMs, ReadAt: now}
 }
 
 // findHolderOrClaim reads the holder's record from the store and follows a new holder. It claims the next epoch if the holder is gone and the other members do not hear it either.
--- a/agent/handler.go
+++ b/agent/handler.go
@@ -23,6 +23,7 @@
 	memberCount := len(a.members)
 	a.mu.Unlock()
 	if h != nil {
+		reply.FencedMs = h.fencedMs.Load()
 		reply.Troubled = h.cannotWrite()
 		if heartbeat.Epoch > h.epoch {
 			h.depose("a follower knows a later epoch")
--- a/agent/holder.go
+++ b/agent/holder.go
@@ -49,9 +49,11 @@
 	// renewalsSuspended means that the drivers were last told not to renew leases.
 	renewalsSuspended atomic.Bool
 	ready             atomic.Bool
-	cancel            context.CancelCauseFunc
-	ctx               context.Context
-	wake              chan struct{}
+	// fencedMs is the process time at which the store had begun to reject the records of earlier holders, 0 before.
+	fencedMs atomic.Int64
+	cancel   context.CancelCauseFunc
+	ctx      context.Context
+	wake     chan struct{}
 	// renewPause is the pause between a target's reply to a renewal and its next renewal, in nanoseconds.
 	renewPause atomic.Int64
 
--- a/agent/recover.go
+++ b/agent/recover.go
@@ -37,8 +37,10 @@
 	h.agent.mu.Lock()
 	waves, since := maps.Clone(h.agent.waves), maps.Clone(h.agent.waveSeenAt)
 	h.agent.mu.Unlock()
+	h.fencedMs.Store(h.agent.clock.ProcessMs())
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.table.RecordFence(h.agent.clock.Now())
 	if c := h.agent.config.Load(); c != nil {
 		h.table.Configure(c.config)
 	}
--- a/mesh/message.go
+++ b/mesh/message.go
@@ -96,6 +96,8 @@
 	Members []Member
 	// WallMs is the called process's process time in milliseconds: the time of day at its start, and the time since then.
 	WallMs int64
+	// FencedMs is the holder's process time when earlier holders could no longer write to the store, 0 if they still may.
+	FencedMs int64
 }
 
 // Probe asks a process how long ago it heard the holder of an epoch.
--- a/sched/handover.go
+++ b/sched/handover.go
@@ -4,9 +4,10 @@
 
 // PredecessorClock relates the process time of an earlier holder to this process's clock. Orders for hosts are dated by process time, because the time of day of a host may jump by seconds.
 type PredecessorClock struct {
-	// Epoch is the earlier holder's epoch, 0 if none is known, and LearnedAt when this process learned of that epoch.
-	Epoch     int64
-	LearnedAt time.Duration
+	// Epoch is the earlier holder's epoch, 0 if none is known.
+	Epoch int64
+	// FencedMs is the earlier holder's process time when the holders before it could no longer record anything, 0 if it is not known.
+	FencedMs int64
 	// ReadingMs is the earlier holder's process time in a reply that arrived at ReadAt.
 	ReadingMs int64
 	ReadAt    time.Duration
@@ -26,15 +27,15 @@
 	switch {
 	case c.Epoch == 0 || token > c.Epoch:
 		return 0
+	case token < c.Epoch && c.FencedMs == 0:
+		return 0
 	case token < c.Epoch:
-		// The order was recorded before the next epoch was claimed.
-		return now - c.LearnedAt
-	default:
-		return time.Duration(c.ReadingMs-issuedMs)*time.Millisecond + now - c.ReadAt
+		issuedMs = c.FencedMs
 	}
+	return time.Duration(c.ReadingMs-issuedMs)*time.Millisecond + now - c.ReadAt
 }
 
-// handoverDelay is how long a holder waits before it orders a host that another holder ordered last: until this time has passed since that order, or since the own takeover. It is the gap that the cloud requires between the orders of two holders, and a second for an order that the other holder sends late or that is in flight.
+// handoverDelay is how long a holder waits before it orders a host that another holder ordered last: until this time has passed since that order, or since the earlier holders could no longer record one. It is the gap that the cloud requires between the orders of two holders, and a second for an order that the other holder sends late or that is in flight.
 func (t *Table) handoverDelay() time.Duration { return t.bounds.HostTakeoverDelay + time.Second }
 
 // mayOrder reports whether this holder may order the host now.
@@ -46,9 +47,12 @@
 	if last.FencingToken == 0 || last.FencingToken == t.token || (last.Node == t.node && t.node != "") {
 		return true
 	}
-	age := max(now-t.tookOverAt, t.predecessor.minOrderAge(last.FencingToken, last.IssuedMs, t.processMs(now), now))
+	age := max(now-t.fencedAt, t.predecessor.minOrderAge(last.FencingToken, last.IssuedMs, t.processMs(now), now))
 	return age > t.handoverDelay()
 }
 
+// RecordFence records that earlier holders cannot record anything more.
+func (t *Table) RecordFence(now time.Duration) { t.fencedAt = now }
+
 // processMs returns the process time at the given time.
 func (t *Table) processMs(now time.Duration) int64 { return t.processOriginMs + now.Milliseconds() }
--- a/sched/script_test.go
+++ b/sched/script_test.go
@@ -194,11 +194,13 @@
 	case "restart": // [node=NAME]: a new holder takes over
 		sr.node = o["node"]
 		sr.restart()
-	case "heartbeat": // epoch=N: the process that takes over next has heard the holder of the epoch
-		if epoch := int64(parseNumber(o["epoch"])); sr.predecessor.Epoch != epoch {
-			sr.predecessor = PredecessorClock{Epoch: epoch, LearnedAt: sr.now}
+	case "heartbeat": // epoch=N [fencedAgo=DURATION]: the process that takes over next has heard the holder of the epoch
+		sr.predecessor = PredecessorClock{Epoch: int64(parseNumber(o["epoch"])), ReadingMs: processOriginMs + sr.now.Milliseconds(), ReadAt: sr.now}
+		if o["fencedAgo"] != "" {
+			sr.predecessor.FencedMs = sr.predecessor.ReadingMs - sr.parseDuration(o["fencedAgo"]).Milliseconds()
 		}
-		sr.predecessor.ReadingMs, sr.predecessor.ReadAt = processOriginMs+sr.now.Milliseconds(), sr.now
+	case "fenced": // the store begins to reject earlier holders' records
+		sr.table.RecordFence(sr.now)
 	case "wallClock": // ahead=DURATION: the time of day jumps
 		sr.setWallClock(sr.parseDuration(o["ahead"]))
 	case "want": // ORDER: an order matches, see takeOrder
--- a/sched/table.go
+++ b/sched/table.go
@@ -31,6 +31,8 @@
 	token  int64
 	// tookOverAt is when this holder took over.
 	tookOverAt time.Duration
+	// fencedAt is when the store began to reject the records of earlier holders.
+	fencedAt time.Duration
 
 	jobs       map[work.JobID]*job
 	activeJobs []*job
@@ -90,7 +92,7 @@
 
 // WithToken sets the holder's fencing token and the time of its takeover.
 func WithToken(token int64, now time.Duration) Option {
-	return func(t *Table) { t.token, t.tookOverAt = token, now }
+	return func(t *Table) { t.token, t.tookOverAt, t.fencedAt = token, now, now }
 }
 
 // WithPredecessor sets what this process knows of an earlier holder's clock.
