A stopping holder names the process that started last

Not the handover wait, which was looked for first: with logs, pools got their hosts at once after each takeover. In a rolling restart the holder moved at 6.2 s and again at 10.7 s, in the first second of a burst; its successor was named by address, and was stopped next. Ruled out: handover wait; hedged calls; the estimate of bursts. Change: among followers with the largest share of a processor, the one that started last is named, unless it has run for less than a second: in a rolling restart it has been restarted already. Test: TestSuccessorHasBeenRestarted.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -105,6 +105,8 @@
 	heardAt time.Duration
 	// share is the CPU share of the process, in cores.
 	share float64
+	// startedAt is when the process started, by this process's clock.
+	startedAt time.Duration
 }
 
 // configState is the configuration in force, decoded and as written.
--- a/agent/authority.go
+++ b/agent/authority.go
@@ -50,20 +50,28 @@
 // yieldInterval is the pause between two looks of the holder for a member with a larger CPU share. After a takeover, members can send three heartbeats before the first look.
 const yieldInterval = 700 * time.Millisecond
 
-// successor returns the address of the live follower with the largest CPU share, or an empty string if that share is not more than yieldShareRatio times this process's own. A stopping process names a successor whatever its share.
+// minSuccessorUptime is how long a process must have been running to be named as successor, enough to learn the configuration and the members.
+const minSuccessorUptime = time.Second
+
+// successor returns the address of the live follower with the largest CPU share, or an empty string if that share is not more than yieldShareRatio times this process's own. A stopping process names a successor whatever its share. Among followers with the same share it is the one that started last: during a rolling restart, the others are still to be stopped.
 func (h *Holder) successor() string {
 	a := h.agent
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := a.clock.Now()
 	best, successor := a.settings.CPUShare*yieldShareRatio, ""
+	var startedAt time.Duration
 	if a.stopping.Load() {
 		best = 0
 	}
 	for _, address := range a.liveMembers() {
 		m := a.members[address]
-		if address != a.address && now-m.heardAt < followerTimeout && m.share > best {
-			best, successor = m.share, address
+		if address == a.address || now-m.heardAt >= followerTimeout {
+			continue
+		}
+		startedLater := m.share == best && successor != "" && m.startedAt > startedAt && now-m.startedAt >= minSuccessorUptime
+		if m.share > best || startedLater {
+			best, successor, startedAt = m.share, address, m.startedAt
 		}
 	}
 	return successor
--- a/agent/handler.go
+++ b/agent/handler.go
@@ -1,6 +1,8 @@
 package agent
 
 import (
+	"time"
+
 	"lavenderwing.example/lavenderwing/elect"
 	"lavenderwing.example/lavenderwing/mesh"
 )
@@ -15,7 +17,7 @@
 	holder, _ := a.detector.Holder()
 	reply.Epoch, reply.Address = holder.Epoch, holder.Address
 	reply.Holds = h != nil && h.epoch == holder.Epoch
-	a.members[heartbeat.Address] = member{heardAt: now, share: heartbeat.Share}
+	a.members[heartbeat.Address] = member{heardAt: now, share: heartbeat.Share, startedAt: now - time.Duration(heartbeat.UptimeMs)*time.Millisecond}
 	a.members[a.address] = member{heardAt: now, share: a.settings.CPUShare}
 	for _, address := range a.membersFor(heartbeat) {
 		reply.Members = append(reply.Members, mesh.Member{Address: address, Share: a.members[address].share})
--- a/agent/holder_test.go
+++ b/agent/holder_test.go
@@ -229,3 +229,19 @@
 	h.finishBatch(later, 0)
 	<-recorded
 }
+
+// TestSuccessorHasBeenRestarted guards against a rolling restart that moves the holder again and again, each time to a process that is about to be stopped: the successor is the process that started last, unless that has only just started or another one has a larger CPU share.
+func TestSuccessorHasBeenRestarted(t *testing.T) {
+	is := is.New(t)
+	a, h := newTestAgent(t)
+	a.stopping.Store(true)
+	// now is a minute ahead of the clock, so that times set to it still count as recent on a slow machine.
+	now := a.clock.Now() + time.Minute
+	a.members["10.0.0.1:1"] = member{heardAt: now, share: 0.4, startedAt: -time.Minute}
+	a.members["10.0.0.2:1"] = member{heardAt: now, share: 0.4, startedAt: -10 * time.Second}
+	a.members["10.0.0.3:1"] = member{heardAt: now, share: 0.4, startedAt: -20 * time.Second}
+	a.members["10.0.0.4:1"] = member{heardAt: now, share: 0.4, startedAt: now}
+	is.Equal(h.successor(), "10.0.0.2:1")
+	a.members["10.0.0.5:1"] = member{heardAt: now, share: 0.8, startedAt: -time.Hour}
+	is.Equal(h.successor(), "10.0.0.5:1")
+}
