Faults of the close reading: Expiry ranks, why's names, counts of lost lines

Cause: when the lowest seat died, all other processes had rank 0 and appended the same record at once; why took i-10 for i-1; a failed write of several log lines counted as one. Ruled out: ranks by hash, which give two processes the same one as well. Change: a process's rank is its place among the other live seats; names match as a whole; lines are counted.

--- a/cmds/whycmd.go
+++ b/cmds/whycmd.go
@@ -55,7 +55,27 @@
 			return true
 		}
 	}
-	return strings.Contains(l.Cause, name) && l.Subject != ""
+	return l.Subject != "" && containsName(l.Cause, name)
+}
+
+// containsName reports whether the text contains the name as a whole, and not as a part of a longer name such as i-10 for i-1.
+func containsName(text, name string) bool {
+	for from := 0; name != ""; {
+		at := strings.Index(text[from:], name)
+		if at < 0 {
+			return false
+		}
+		begin, end := from+at, from+at+len(name)
+		if (begin == 0 || !isNameByte(text[begin-1])) && (end == len(text) || !isNameByte(text[end])) {
+			return true
+		}
+		from = begin + 1
+	}
+	return false
+}
+
+func isNameByte(b byte) bool {
+	return b == '-' || b == '_' || b >= '0' && b <= '9' || b >= 'a' && b <= 'z' || b >= 'A' && b <= 'Z'
 }
 
 // holderAndStoreKinds are the kinds of lines about the holder and the store, which affect every job of that time.
--- a/logs/logs.go
+++ b/logs/logs.go
@@ -1,6 +1,7 @@
 package logs
 
 import (
+	"bytes"
 	"io"
 	"sync"
 	"time"
@@ -57,7 +58,7 @@
 // Sync does nothing, because lines are written in the background.
 func (w *Writer) Sync() error { return nil }
 
-// Dropped returns how many lines were dropped; a failed write to the stream counts as one line, although it may hold several.
+// Dropped returns how many lines were dropped; a failed write to the stream counts as all lines that it holds.
 func (w *Writer) Dropped() int64 {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -92,7 +93,7 @@
 		if _, err := w.out.Write(batch); err != nil {
 			// The stream is the only place to report errors, so a failed write is only counted.
 			w.mu.Lock()
-			w.dropped++
+			w.dropped += int64(bytes.Count(batch, []byte("\n")))
 			w.mu.Unlock()
 		}
 	}
--- a/member/expire.go
+++ b/member/expire.go
@@ -17,7 +17,7 @@
 // ExpireRecords stores the renewals in the tables that are new to this process, and returns records that declare the leases of other processes expired. A lease expires when it was not renewed for so long that no request sent under it can still run. The time without a renewal counts from when this process first saw the last one, and starts again when a record is returned. The tables must include the end of the log as of now, so that no renewal is overlooked.
 func (s *Session) ExpireRecords(t state.Tables, longestRun time.Duration, now time.Time) []record.Record {
 	var records []record.Record
-	rank := 0
+	place := s.placeAmongLive(t)
 	for _, m := range t.Members() {
 		if !m.Live {
 			continue
@@ -30,16 +30,28 @@
 		if m.Seat == s.identity.Seat {
 			continue
 		}
-		// Each live seat that sorts before both this process's seat and the other one lengthens the timeout, so that fewer processes append the same record.
+		// Each other live seat that sorts before this process's seat lengthens the timeout, so that fewer processes append the same record.
+		rank := place
+		if m.Seat < s.identity.Seat {
+			rank--
+		}
 		timeout := s.reclaimDelay(longestRun) + time.Duration(rank)*s.leaseDuration/renewalsPerLease
 		if now.Sub(seen.seenAt) > timeout {
 			seen.seenAt = now
 			s.observedRenewals[m.Seat] = seen
 			records = append(records, record.Expire{Seat: m.Seat, Incarnation: m.Incarnation, RenewalOffset: m.RenewalOffset})
 		}
-		if m.Seat < s.identity.Seat {
-			rank++
-		}
 	}
 	return records
 }
+
+// placeAmongLive returns how many live seats sort before this process's seat.
+func (s *Session) placeAmongLive(t state.Tables) int {
+	place := 0
+	for _, m := range t.Members() {
+		if m.Live && m.Seat < s.identity.Seat {
+			place++
+		}
+	}
+	return place
+}
--- a/member/expire_test.go
+++ b/member/expire_test.go
@@ -26,3 +26,34 @@
 	is.True(ok)
 	is.Equal(expire.Seat, "b")
 }
+
+// TestOneProcessExpiresTheLowestSeat guards against a record that all processes append at once: when the lowest seat died, all others had the same rank.
+func TestOneProcessExpiresTheLowestSeat(t *testing.T) {
+	is := is.New(t)
+	const lease, longest = 6 * time.Second, 2 * time.Second
+	start := time.Unix(1_800_000_000, 0)
+	tables := state.New()
+	seats := []string{"a", "b", "c", "d"}
+	for n, seat := range seats {
+		tables, _ = tables.Apply(int64(n+1), record.Batch{Writer: seat, Sequence: 1, Records: []record.Record{record.Join{Seat: seat, Incarnation: "1"}}})
+	}
+	for dead, expected := range map[string]string{"a": "b", "d": "a", "b": "a"} {
+		first := map[string]time.Duration{}
+		for _, seat := range seats {
+			if seat == dead {
+				continue
+			}
+			session := New(Identity{Seat: seat}, lease, "9", func() string { return "10" })
+			for after := time.Duration(0); after < time.Minute && first[seat] == 0; after += 100 * time.Millisecond {
+				for _, r := range session.ExpireRecords(tables, longest, start.Add(after)) {
+					if r.(record.Expire).Seat == dead {
+						first[seat] = after
+					}
+				}
+			}
+		}
+		for seat, after := range first {
+			is.True(seat == expected || after > first[expected]) // only one process is the first
+		}
+	}
+}
