Delayed starts hold an item up only while they can still arrive; elections

The hedged start of its second run had an unanswered attempt, its target's host was taken away, and the target's address answered for another target before the host list showed it; the item then waited 15 s, the longest that an order may be delayed, for a stop that nobody could answer. Ruled out: dropping what is outstanding whenever a target counts as gone: one whose host is only down may come back under its name. Also: the lengthened timeout of elections ends with the churn that lengthened it; members that were not heard for 10 minutes no longer count for majorities.

--- a/agent/driver.go
+++ b/agent/driver.go
@@ -27,6 +27,8 @@
 	orderRetryPause = 150 * time.Millisecond
 	// renewRetryPause is the pause after a renewal without a reply, and between checks of whether the holder may renew leases again.
 	renewRetryPause = 300 * time.Millisecond
+	// minOrderLatency keeps orders from being repeated because this process was too busy to read an answer.
+	minOrderLatency = 20 * time.Millisecond
 	// lossyPeriod is how long after an unanswered order the target's renewals poll shortly, because they may be left unanswered too.
 	lossyPeriod = 3 * time.Second
 	// maxIdleWait is the longest time that the driver of an idle target waits for an order before it checks again whether the target needs a renewal.
@@ -202,21 +204,64 @@
 	}
 }
 
-// startRun orders a run. If an attempt stays unanswered, its start may still be delivered to a later incarnation of the target.
+// startRun orders a run. An attempt that stays unanswered may still be delivered to a later incarnation of the target.
 func (d *driver) startRun(o sched.StartOrder) (work.OrderReply, error) {
-	reply, made, err := d.hedge(func() (work.OrderReply, error) { return d.client.StartRun(o.Start, orderTimeout) })
+	attempts := &startAttempts{driver: d, order: o}
+	reply, made, err := d.hedge(attempts.call)
 	if made > 1 {
 		d.lossyUntil.Store(int64(d.holder.agent.clock.Now() + lossyPeriod))
-		d.holder.mu.Lock()
-		d.holder.table.StartOutstanding(o, d.holder.agent.clock.Now())
-		d.holder.mu.Unlock()
+		attempts.recordOutstanding(made)
 	}
 	return reply, err
 }
 
+// startAttempts counts the attempts of one start that the target has answered.
+type startAttempts struct {
+	driver *driver
+	order  sched.StartOrder
+
+	mu       sync.Mutex
+	answered int
+	// made is the number of attempts, 0 until the table knows that some of them are unanswered.
+	made int
+}
+
+// call makes one attempt. If its answer is the last that was missing, the table forgets that any was.
+func (s *startAttempts) call() (work.OrderReply, error) {
+	reply, err := s.driver.client.StartRun(s.order.Start, orderTimeout)
+	if err != nil {
+		return reply, err
+	}
+	s.mu.Lock()
+	s.answered++
+	settled := s.answered == s.made
+	s.mu.Unlock()
+	if settled {
+		h := s.driver.holder
+		h.mu.Lock()
+		h.table.StartSettled(s.order)
+		h.mu.Unlock()
+	}
+	return reply, nil
+}
+
+// recordOutstanding tells the table that attempts are unanswered, unless all have been answered meanwhile.
+func (s *startAttempts) recordOutstanding(made int) {
+	h := s.driver.holder
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	s.mu.Lock()
+	s.made = made
+	outstanding := s.answered < made
+	s.mu.Unlock()
+	if outstanding {
+		h.table.StartOutstanding(s.order, h.agent.clock.Now())
+	}
+}
+
 // hedge makes a call to the target that may be repeated, and repeats it while it is unanswered.
 func (d *driver) hedge(call func() (work.OrderReply, error)) (work.OrderReply, int, error) {
-	return hedged(d.holder.ctx, d.latency.get(), func() (work.OrderReply, error) {
+	return hedged(d.holder.ctx, max(d.latency.get(), minOrderLatency), func() (work.OrderReply, error) {
 		began := d.holder.agent.clock.Now()
 		reply, err := call()
 		if err == nil {
--- a/agent/follow.go
+++ b/agent/follow.go
@@ -17,6 +17,9 @@
 // membersInterval is how often a follower asks for the list of members, which takes about 40 bytes per member.
 const membersInterval = 1500 * time.Millisecond
 
+// memberForgetTime is how long after its last heartbeat a member counts for majorities. It is much longer than any partition during which two holders could act, and short enough that hosts which have left for good do not take the majority away.
+const memberForgetTime = 10 * time.Minute
+
 // memberTimeout is how long a process counts as a member after its last heartbeat.
 const memberTimeout = 5 * time.Second
 
@@ -156,6 +159,15 @@
 	return a.detector.HolderCannotWrite()
 }
 
+// forgetMembers removes the members that have not been heard for memberForgetTime; the caller holds the lock.
+func (a *Agent) forgetMembers(now time.Duration) {
+	for address, m := range a.members {
+		if now-m.heardAt >= memberForgetTime {
+			delete(a.members, address)
+		}
+	}
+}
+
 // liveMembers returns the sorted addresses of members heard within memberTimeout; the caller holds the lock.
 func (a *Agent) liveMembers() []string {
 	now := a.clock.Now()
--- a/agent/handler.go
+++ b/agent/handler.go
@@ -42,6 +42,7 @@
 	if !heartbeat.AsksMembers {
 		return nil
 	}
+	a.forgetMembers(a.clock.Now())
 	return a.liveMembers()
 }
 
--- a/agent/holder_test.go
+++ b/agent/holder_test.go
@@ -245,3 +245,23 @@
 	a.members["10.0.0.5:1"] = member{heardAt: now, share: 0.8, startedAt: -time.Hour}
 	is.Equal(h.successor(), "10.0.0.5:1")
 }
+
+// TestMembersThatLeftAreForgotten guards against a holder that may never renew leases without the store, because hosts that have left for good count for the majority.
+func TestMembersThatLeftAreForgotten(t *testing.T) {
+	is := is.New(t)
+	a, h := newTestAgent(t)
+	now := a.clock.Now() + time.Minute
+	stale := a.clock.Now() - 2*sched.MaxUnconfirmedRenewal
+	for _, at := range []*atomic.Int64{&h.progress.confirmedAt, &h.intake.writer.confirmedAt, &h.confirmedAt} {
+		at.Store(int64(stale))
+	}
+	a.members[a.address] = member{heardAt: now}
+	a.members["b"] = member{heardAt: now}
+	for _, gone := range []string{"c", "d", "e"} {
+		a.members[gone] = member{heardAt: stale}
+	}
+	a.forgetMembers(now)
+	is.True(!h.mayRenew()) // they may be on the other side of a partition
+	a.forgetMembers(stale + memberForgetTime)
+	is.True(h.mayRenew()) // the holder and its follower are all members
+}
--- a/elect/elect.go
+++ b/elect/elect.go
@@ -65,8 +65,11 @@
 // fastHeartbeatWindow is how long followers send heartbeats at ClaimStagger instead of HeartbeatInterval after a refused connection, long enough for a few staggered claims. It is short because a network partition that refuses connections may last much longer.
 const fastHeartbeatWindow = 500 * time.Millisecond
 
-// holderTimeout is how long the holder may be unheard before another process claims; it grows with each change of the holder within churnWindow.
-func (d *FailureDetector) holderTimeout() time.Duration {
+// holderTimeout is how long the holder may be unheard before another process claims. It grows with each change of the holder within churnWindow, and is back at HolderTimeout once the last change is older.
+func (d *FailureDetector) holderTimeout(now time.Duration) time.Duration {
+	if now-d.changedAt >= churnWindow {
+		return HolderTimeout
+	}
 	return HolderTimeout + time.Duration(min(d.recentChanges, maxTimeoutExtensions))*HolderTimeout
 }
 
@@ -191,7 +194,7 @@
 
 // Alive reports whether a holder is known that was heard within its timeout and since then has neither resigned nor refused a connection.
 func (d *FailureDetector) Alive(now time.Duration) bool {
-	return d.known && !d.vacant && d.refusedAt == 0 && now-d.heardAt < d.holderTimeout()
+	return d.known && !d.vacant && d.refusedAt == 0 && now-d.heardAt < d.holderTimeout(now)
 }
 
 // ShouldClaim reports whether a process of the given rank should claim the next epoch. Each rank waits ClaimStagger longer than the one before, so that claims do not collide.
@@ -209,6 +212,6 @@
 	case d.refusedAt > 0:
 		return now-d.refusedAt >= RefusedTimeout+stagger
 	default:
-		return now-d.heardAt >= d.holderTimeout()+stagger
+		return now-d.heardAt >= d.holderTimeout(now)+stagger
 	}
 }
--- a/elect/elect_test.go
+++ b/elect/elect_test.go
@@ -144,3 +144,16 @@
 	is.True(d.Alive(time.Second))
 	is.True(!d.ShouldClaim(0, time.Second+RefusedTimeout))
 }
+
+// TestLongerTimeoutEndsWithTheChurn guards against a slow takeover long after a series of changes: the timeout that they lengthened stayed longer until the next change.
+func TestLongerTimeoutEndsWithTheChurn(t *testing.T) {
+	is := is.New(t)
+	d := newDetector(time.Second)
+	d.Follow(Holder{Epoch: 4}, 2*time.Second)
+	d.Follow(Holder{Epoch: 5}, 3*time.Second)
+	is.True(!d.ShouldClaim(0, 3*time.Second+HolderTimeout)) // the holders change often
+	later := 3*time.Second + churnWindow
+	d.RecordHeartbeat(5, false, later)
+	is.True(!d.ShouldClaim(0, later+HolderTimeout-1))
+	is.True(d.ShouldClaim(0, later+HolderTimeout))
+}
--- a/sched/hostlist.go
+++ b/sched/hostlist.go
@@ -95,6 +95,7 @@
 	if oldTarget != "" && oldTarget != w.Target {
 		h.outcomeUnknown = h.outcomeUnknown && h.order != nil && h.order.Wave > 0
 		t.handleGoneTarget(oldTarget, now, "host has a new target")
+		t.forgetDelayedStarts(oldTarget)
 	}
 	if w.State == work.HostDown && w.Target != "" {
 		t.handleGoneTarget(w.Target, now, "host is down")
@@ -117,6 +118,13 @@
 	return t.bounds.MoveTime
 }
 
+// forgetDelayedStarts forgets the starts that might still be delivered to a target whose host has another one now. The target has no later incarnation that could get them; one whose host is only down may come back under its name.
+func (t *Table) forgetDelayedStarts(id work.TargetID) {
+	if tgt, ok := t.targets[id]; ok {
+		tgt.revoked, tgt.unanswered = nil, nil
+	}
+}
+
 // handleGoneTarget unlists a target that has certainly ended, and requeues the items that ran there.
 func (t *Table) handleGoneTarget(id work.TargetID, now time.Duration, cause string) {
 	tgt, ok := t.targets[id]
--- a/sched/incarnation.go
+++ b/sched/incarnation.go
@@ -87,6 +87,20 @@
 	tgt.unanswered = append(kept, delayedStart{item: o.Start.Item, run: o.Start.Run, deliverableUntil: now + maxOrderDelay})
 }
 
+// StartSettled records that all attempts of a start that was recorded as outstanding have been answered.
+func (t *Table) StartSettled(o StartOrder) {
+	tgt, ok := t.targets[o.Target]
+	if !ok {
+		return
+	}
+	for n, start := range tgt.unanswered {
+		if start.item == o.Start.Item && start.run == o.Start.Run {
+			tgt.unanswered = append(tgt.unanswered[:n], tgt.unanswered[n+1:]...)
+			return
+		}
+	}
+}
+
 // stopRepeatInterval is how long a stop may be unanswered before it is ordered again.
 const stopRepeatInterval = time.Second
 
--- a/sched/script_test.go
+++ b/sched/script_test.go
@@ -175,6 +175,8 @@
 		sr.table.StartUnanswered(StartOrder{Target: work.TargetID(o["target"]), Start: work.StartRequest{Item: sr.parseItem(args[0]), Run: parseNumber(o["run"])}}, sr.now)
 	case "startOutstanding": // ITEM target=NAME run=N: one of several attempts is unanswered
 		sr.table.StartOutstanding(StartOrder{Target: work.TargetID(o["target"]), Start: work.StartRequest{Item: sr.parseItem(args[0]), Run: parseNumber(o["run"])}}, sr.now)
+	case "startSettled": // ITEM target=NAME run=N: all attempts have been answered
+		sr.table.StartSettled(StartOrder{Target: work.TargetID(o["target"]), Start: work.StartRequest{Item: sr.parseItem(args[0]), Run: parseNumber(o["run"])}})
 	case "startAnswered": // ITEM target=NAME [run=N] answer=done|fenced|old|late|room|unhealthy|other|ticket [clock=MS]
 		sr.answerStart(args[0], o)
 	case "stopAnswered": // ITEM target=NAME run=N [revokes]
