A target that comes back under its name gets no unanswered start

Cause: when a target's host went down, the starts that it had left unanswered were kept but not revoked, since only an acquired target's restart ends its incarnation. It could come back within the 15 s in which an order may be delayed, and begin a run whose item was started elsewhere meanwhile (rule TWICE). Ruled out: waiting 15 s before the item is started elsewhere, which serving items may not (LOST). Change: what is unanswered is revoked when the target counts as gone, and the next incarnation is told first thing not to begin it.

--- a/sched/hostlist.go
+++ b/sched/hostlist.go
@@ -135,6 +135,8 @@
 	for len(tgt.runs) > 0 {
 		t.loseRun(tgt.runs[0], now)
 	}
+	// The target may come back under its name, and an unanswered start may then reach it.
+	tgt.revokeUnanswered(now)
 	tgt.listed, tgt.acquired, tgt.leaseExpiresAt = false, false, 0
 	t.targetsByPool = nil
 	tgt.orphanUsage = work.Resources{}
--- a/sched/incarnation.go
+++ b/sched/incarnation.go
@@ -45,9 +45,14 @@
 		t.revokeRun(tgt, it, now)
 		t.loseRun(it, now)
 	}
-	for _, start := range tgt.unanswered {
-		if now < start.deliverableUntil && !tgt.isRevoked(start.item, start.run) {
-			tgt.revoked = append(tgt.revoked, delayedStart{item: start.item, run: start.run, deliverableUntil: start.deliverableUntil})
+	tgt.revokeUnanswered(now)
+}
+
+// revokeUnanswered revokes the starts that are unanswered, so that the target's next incarnation is told to begin none of them.
+func (t *target) revokeUnanswered(now time.Duration) {
+	for _, start := range t.unanswered {
+		if now < start.deliverableUntil && !t.isRevoked(start.item, start.run) {
+			t.revoked = append(t.revoked, delayedStart{item: start.item, run: start.run, deliverableUntil: start.deliverableUntil})
 		}
 	}
 }
