--- a/agent/hedge.go
+++ b/agent/hedge.go
@@ -6,9 +6,9 @@
 	"time"
 )
 
-// Delays of hedged calls. The store may lose the answers of a large part of its writes, and a call whose answer is lost shows that only by its timeout.
+// Delays of hedged calls. The store may lose the answers of a large part of its writes, and targets those of their orders; without a hedge, a lost answer shows only by the timeout of its call.
 const (
-	// hedgeLatencyFactor is the delay of the second attempt as a multiple of the store's average latency, so that few calls are repeated while no answers are lost.
+	// hedgeLatencyFactor is the delay of the second attempt as a multiple of the average latency, so that few calls are repeated while no answers are lost.
 	hedgeLatencyFactor = 5
 	minHedgeDelay      = 40 * time.Millisecond
 	maxHedgeDelay      = 500 * time.Millisecond
@@ -61,7 +61,7 @@
 // latencyWeight is the weight of the newest latency in the moving average.
 const latencyWeight = 0.3
 
-// latencyAverage is the moving average of the latency of calls to the store.
+// latencyAverage is the moving average of the latency of calls to the store or to a target.
 type latencyAverage struct {
 	mu      sync.Mutex
 	average time.Duration
