sched: The model repeats unanswered starts

Cause: hedged starts leave attempts under way more often, and the model knew only orders that stay unanswered. Change: half of the delayed starts are repeated after 100 ms, and the second attempt is answered.

--- a/sched/modelholder_test.go
+++ b/sched/modelholder_test.go
@@ -168,9 +168,22 @@
 				h.execute(t, o)
 			}
 		})
+		if _, ok := o.(StartOrder); ok && h.Intn(2) == 0 {
+			// The start is repeated while it is unanswered, and the second attempt is answered.
+			h.schedule(modelHedgeDelay, func() { h.callNow(t, o, true, unanswered, again) })
+			return
+		}
 		unanswered()
 		return
 	}
+	h.callNow(t, o, false, unanswered, again)
+}
+
+// modelHedgeDelay is the time after which an unanswered start is repeated.
+const modelHedgeDelay = 100 * time.Millisecond
+
+// callNow lets a target carry out an order and applies the answer; outstanding means that an earlier attempt of the order may still be delivered.
+func (h *modelHolder) callNow(t *modelTarget, o Order, outstanding bool, unanswered, again func()) {
 	h.schedule(h.randomDuration(time.Millisecond, 30*time.Millisecond), func() {
 		if !h.reachable(t) {
 			unanswered()
@@ -180,6 +193,9 @@
 		h.schedule(h.randomDuration(time.Millisecond, 30*time.Millisecond), func() {
 			switch o := o.(type) {
 			case StartOrder:
+				if outstanding {
+					h.table.StartOutstanding(o, h.now)
+				}
 				h.table.StartAnswered(o, answer, h.now)
 			case StopOrder:
 				h.table.StopAnswered(o, answer, h.now)
