Targets' clocks date the orders of a holder that nobody has heard

The time of day, which was used before, may jump. Ruled out: a smaller bound between two hosts' clocks, which jumps would break; the peers' memory, since none is left. Change: each batch with orders for hosts records the holder's process time beside the clocks of up to eight targets, which outlive the holders, are steady and at most 2 % slow; a successor reads them again when it renews these targets, and bounds each order's age by them. A restarted target's clock tells nothing.

--- a/sched/flush.go
+++ b/sched/flush.go
@@ -94,7 +94,7 @@
 	return b, nil
 }
 
-// flushHosts adds the records of host orders and waves.
+// flushHosts adds the records of host orders, of the clocks that date them, and of waves.
 func (t *Table) flushHosts(b *Batch, now time.Duration) error {
 	b.HostOrders = t.issuedHostOrders
 	t.issuedHostOrders = nil
@@ -105,6 +105,13 @@
 		}
 		b.Entries = append(b.Entries, Entry{Key: hostPrefix + o.Host, Value: value})
 	}
+	if len(b.HostOrders) > 0 {
+		value, err := work.Encode(t.clockRecord(now))
+		if err != nil {
+			return err
+		}
+		b.Entries = append(b.Entries, Entry{Key: clockKey, Value: value})
+	}
 	for _, w := range t.waveList {
 		if !w.dirty {
 			continue
--- a/sched/handover.go
+++ b/sched/handover.go
@@ -1,6 +1,10 @@
 package sched
 
-import "time"
+import (
+	"time"
+
+	"lavenderwing.example/lavenderwing/work"
+)
 
 // PredecessorClock relates the process time of an earlier holder to this process's clock. Orders for hosts are dated by process time, because the time of day of a host may jump by seconds.
 type PredecessorClock struct {
@@ -47,10 +51,59 @@
 	if last.FencingToken == 0 || last.FencingToken == t.token || (last.Node == t.node && t.node != "") {
 		return true
 	}
-	age := max(now-t.fencedAt, t.predecessor.minOrderAge(last.FencingToken, last.IssuedMs, t.processMs(now), now))
+	age := max(
+		now-t.fencedAt,
+		t.predecessor.minOrderAge(last.FencingToken, last.IssuedMs, t.processMs(now), now),
+		t.recordedOrderAge(last.FencingToken, last.IssuedMs, now),
+	)
 	return age > t.handoverDelay()
 }
 
+// maxRecordedClocks is how many targets' clocks are recorded; some of the targets may be gone when a successor reads the record.
+const maxRecordedClocks = 8
+
+// clockRecord returns what the holder knows of targets' clocks. Targets with serving items come first, because their hosts stay longest.
+func (t *Table) clockRecord(now time.Duration) *work.HolderClockRecord {
+	r := &work.HolderClockRecord{FencingToken: t.token, ProcessMs: t.processMs(now)}
+	for _, serving := range []bool{true, false} {
+		for _, tgt := range t.sortedTargets {
+			if len(r.Clocks) == maxRecordedClocks {
+				return r
+			}
+			if tgt.acquired && tgt.incarnation != 0 && tgt.readingMs > 0 && tgt.hasServingItem() == serving {
+				// The clock was read after the renewal was sent, and never runs fast.
+				r.Clocks = append(r.Clocks, work.TargetClock{Target: tgt.ID, StartedMs: tgt.incarnation, ClockMs: tgt.readingMs + (now - tgt.readingSentAt).Milliseconds() + 1})
+			}
+		}
+	}
+	return r
+}
+
+// recordedOrderAge returns a lower bound for the time since an earlier holder recorded an order for a host, by the targets' clocks that its last batch of such orders recorded; it is 0 if none of these targets has answered yet.
+func (t *Table) recordedOrderAge(token, issuedMs int64, now time.Duration) time.Duration {
+	r := &t.earlierClocks
+	if token > r.FencingToken {
+		return 0
+	}
+	if token < r.FencingToken {
+		// The order was recorded before the holder of the record could record anything.
+		issuedMs = r.ProcessMs
+	}
+	var elapsed time.Duration
+	for _, c := range r.Clocks {
+		tgt, ok := t.targets[c.Target]
+		if !ok || !tgt.acquired || tgt.incarnation != c.StartedMs || tgt.clockAt == 0 {
+			continue
+		}
+		clock := time.Duration(tgt.clockMs-c.ClockMs)*time.Millisecond + time.Duration(float64(now-tgt.clockAt)*minClockRate)
+		elapsed = max(elapsed, clock)
+	}
+	if elapsed == 0 {
+		return 0
+	}
+	return elapsed + time.Duration(r.ProcessMs-issuedMs)*time.Millisecond
+}
+
 // RecordFence records that earlier holders cannot record anything more.
 func (t *Table) RecordFence(now time.Duration) { t.fencedAt = now }
 
--- a/sched/host.go
+++ b/sched/host.go
@@ -8,15 +8,17 @@
 	"lavenderwing.example/lavenderwing/work"
 )
 
-// Key prefixes of the records of hosts and waves.
+// Keys and key prefixes of the records of hosts, waves and clocks.
 const (
 	hostPrefix = "host/"
 	wavePrefix = "wave/"
+	// clockKey is the key of the holder's work.HolderClockRecord.
+	clockKey = "clock"
 )
 
 // IsJobKey reports whether a record's key is that of a job.
 func IsJobKey(key string) bool {
-	return !strings.HasPrefix(key, hostPrefix) && !strings.HasPrefix(key, wavePrefix)
+	return key != clockKey && !strings.HasPrefix(key, hostPrefix) && !strings.HasPrefix(key, wavePrefix)
 }
 
 // HostOrder tells the cloud to move a host into a pool or to begin its maintenance for a wave.
--- a/sched/incarnation.go
+++ b/sched/incarnation.go
@@ -32,7 +32,7 @@
 func (t *Table) endIncarnation(tgt *target, now time.Duration, cause string) {
 	t.logEvent("lifeOver", string(tgt.ID), cause, tgt.Address)
 	tgt.acquired, tgt.lastAppliedEnd, tgt.lastRecordedEnd, tgt.lastAcknowledgedEnd = false, 0, 0, 0
-	tgt.clockAt, tgt.clockMs, tgt.leaseExpiresAt = 0, 0, 0
+	tgt.clockAt, tgt.clockMs, tgt.readingMs, tgt.leaseExpiresAt = 0, 0, 0, 0
 	tgt.orphanUsage = work.Resources{}
 	for n := 0; n < len(tgt.runs); {
 		it := tgt.runs[n]
--- a/sched/load.go
+++ b/sched/load.go
@@ -11,8 +11,11 @@
 	"lavenderwing.example/lavenderwing/work"
 )
 
-// LoadHostOrWave restores the progress of a host or wave from its record.
+// LoadHostOrWave restores the progress of a host or wave, or an earlier holder's clocks, from its record.
 func (t *Table) LoadHostOrWave(key string, value []byte) error {
+	if key == clockKey {
+		return work.Decode(value, &t.earlierClocks)
+	}
 	if name, ok := strings.CutPrefix(key, hostPrefix); ok {
 		var record work.HostOrderRecord
 		if err := work.Decode(value, &record); err != nil {
--- a/sched/renew.go
+++ b/sched/renew.go
@@ -86,6 +86,7 @@
 		t.logEvent("answers", string(id), "renewal", tgt.Address)
 	}
 	tgt.recordAnswer(reply.ClockMs, now)
+	tgt.readingMs, tgt.readingSentAt = reply.ClockMs, sent
 	tgt.incarnation = max(tgt.incarnation, reply.StartedMs)
 	if !tgt.acquired {
 		// The target now knows this holder's fencing token and rejects renewals of earlier holders, so their leases end within one leaseDuration, extended by a slow clock for less than leaseDuration/40. Stops may have been ordered before the target could get them; a stop time this far back makes applyRuns order them again at once.
--- a/sched/table.go
+++ b/sched/table.go
@@ -83,6 +83,8 @@
 	// predecessor is what this process knows of an earlier holder's clock, and processOriginMs its own process time at time 0 of its clock.
 	predecessor     PredecessorClock
 	processOriginMs int64
+	// earlierClocks is what the last batch of an earlier holder's orders for hosts recorded of targets' clocks.
+	earlierClocks work.HolderClockRecord
 	// wallOffset is the time of day at time 0 of the process's clock, in milliseconds since 1970.
 	wallOffset int64
 }
--- a/sched/target.go
+++ b/sched/target.go
@@ -29,6 +29,9 @@
 	// clockMs is the target's clock in its last answer, which came at clockAt.
 	clockMs int64
 	clockAt time.Duration
+	// readingMs is the target's clock in its last renewal reply, and readingSentAt when that renewal was sent, so that the clock showed less then.
+	readingMs     int64
+	readingSentAt time.Duration
 	// leaseExpiresAt is when the target has certainly ended its runs unless its lease is renewed.
 	leaseExpiresAt time.Duration
 	// lastAppliedEnd is the sequence number of the last run end that was applied, lastRecordedEnd that of the last one that the store holds, and lastAcknowledgedEnd that of the last one that the target has been told to forget.
@@ -94,6 +97,16 @@
 	}
 }
 
+// hasServingItem reports whether a serving item runs on the target.
+func (t *target) hasServingItem() bool {
+	for _, it := range t.runs {
+		if it.step.spec.Serving {
+			return true
+		}
+	}
+	return false
+}
+
 // usable reports whether the target may get new starts.
 func (t *target) usable(now time.Duration) bool {
 	return t.listed && t.acquired && !t.Draining && !t.cordoned && !t.unreachable && len(t.revoked) == 0 && now >= t.quarantinedUntil
--- a/work/record.go
+++ b/work/record.go
@@ -64,6 +64,24 @@
 	return trace.Wrap(decoder.Unmarshal(b, record))
 }
 
+// HolderClockRecord relates a holder's process time to the clocks of some targets. It is stored with each batch of orders for hosts, so that a successor that has never heard the holder can tell how old they are.
+type HolderClockRecord struct {
+	_            struct{} `cbor:",toarray"`
+	FencingToken int64
+	// ProcessMs is the holder's process time when the batch was taken, and Clocks what the targets' clocks showed then at most.
+	ProcessMs int64
+	Clocks    []TargetClock
+}
+
+// TargetClock is a reading of the clock of one incarnation of a target.
+type TargetClock struct {
+	_      struct{} `cbor:",toarray"`
+	Target TargetID
+	// StartedMs identifies the incarnation.
+	StartedMs int64
+	ClockMs   int64
+}
+
 // HostOrderRecord is the last order for a host, stored before the order is sent.
 type HostOrderRecord struct {
 	_ struct{} `cbor:",toarray"`
