--- a/agent/stream_test.go
+++ b/agent/stream_test.go
@@ -22,15 +22,11 @@
 // newScriptedWriter returns a writer of epoch 1 whose store gives the replies one after the other.
 func newScriptedWriter(t *testing.T, is *is.I, replies ...storeReply) *fencedWriter {
 	address := fake.LoopbackAddresses(1)[0]
-	listener, err := listenTCP(address)
-	is.NoErr(err)
-	server := &fasthttp.Server{Handler: func(ctx *fasthttp.RequestCtx) {
+	startServer(t, is, address, func(ctx *fasthttp.RequestCtx) {
 		ctx.SetStatusCode(replies[0].status)
 		ctx.SetBodyString(replies[0].body)
 		replies = replies[1:]
-	}}
-	go func() { _ = server.Serve(listener) }()
-	t.Cleanup(func() { _ = server.Shutdown() })
+	})
 	a, err := New(work.Settings{Node: "n", IP: "127.0.0.1", InternalPorts: [2]int{1, 2}, Store: work.StoreLimits{Address: address}})
 	is.NoErr(err)
 	return &fencedWriter{agent: a, topic: jobsTopic, epoch: 1}
