--- a/agent/agent.go
+++ b/agent/agent.go
@@ -88,7 +88,7 @@
 	// mu guards the fields below.
 	mu       sync.Mutex
 	detector *elect.FailureDetector
-	// predecessor is what heartbeat replies have told of the clock of the holder that this process followed last.
+	// predecessor is the clock of the last holder that this process followed, as known from heartbeat replies.
 	predecessor sched.PredecessorClock
 	// active is the holder that runs in this process, nil while it follows.
 	active  *Holder
--- a/agent/driver.go
+++ b/agent/driver.go
@@ -152,7 +152,7 @@
 	h.wakeLoop()
 	switch {
 	case err != nil && !r.Unreachable:
-		// A single lost answer is no sign that the target is gone; it is asked again at once, and without a poll.
+		// A single lost answer does not mean that the target is gone, so the renewal is repeated at once and without a poll.
 		d.lossyUntil.Store(int64(now + lossyPeriod))
 		return true
 	case err != nil:
--- a/agent/follow.go
+++ b/agent/follow.go
@@ -17,7 +17,7 @@
 // membersInterval is how often a follower asks for the list of members, which takes about 40 bytes per member.
 const membersInterval = 1500 * time.Millisecond
 
-// memberForgetTime is how long after its last heartbeat a member counts for majorities. It is much longer than any partition during which two holders could act, and short enough that hosts which have left for good do not take the majority away.
+// memberForgetTime is how long after its last heartbeat a member counts for majorities. It is much longer than any partition during which two holders could act, and short enough that hosts which have left for good do not prevent a majority.
 const memberForgetTime = 10 * time.Minute
 
 // memberTimeout is how long a process counts as a member after its last heartbeat.
--- a/sched/burst.go
+++ b/sched/burst.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// Recognition of bursts. The load that it answers: a queue's arrivals jump to many times their former rate within a fraction of a second, last some seconds, and a host takes almost two seconds to move, so that every tenth of a second counts before the hosts are ordered.
+// Parameters of the detection of bursts: a queue's arrivals rise to many times their former rate within a fraction of a second and last for some seconds. Moving a host takes almost two seconds, so hosts must be ordered within a few tenths of a second.
 const (
 	// burstBucket is the resolution of the arrivals that are kept, and burstBuckets how many are kept.
 	burstBucket  = 50 * time.Millisecond
