Runs that end with their target are logged, with what tells a cause from a neighbour

The logs showed that a target was gone, but not what ran there, for how long, and in which run, so that an uncounted requeue and a repeated start looked alike. A line 'interrupted' for each such run says so, and is counted like other decisions; the time of the first unanswered call and of the last answer are kept for it. No logic changed.

--- a/agent/driver.go
+++ b/agent/driver.go
@@ -144,7 +144,7 @@
 	now := h.agent.clock.Now()
 	h.mu.Lock()
 	if err != nil {
-		h.table.CallUnanswered(d.id)
+		h.table.CallUnanswered(d.id, now)
 	} else {
 		h.table.RenewalAnswered(d.id, reply, r.AcknowledgedEnd, sent, now)
 	}
@@ -293,7 +293,7 @@
 	if start, ok := o.(sched.StartOrder); ok {
 		h.table.StartUnanswered(start, h.agent.clock.Now())
 	} else {
-		h.table.CallUnanswered(d.id)
+		h.table.CallUnanswered(d.id, h.agent.clock.Now())
 	}
 	h.mu.Unlock()
 	d.mu.Lock()
--- a/sched/hostlist.go
+++ b/sched/hostlist.go
@@ -133,6 +133,7 @@
 	}
 	t.logEvent("gone", string(id), cause, tgt.Pool)
 	for len(tgt.runs) > 0 {
+		t.logInterrupted(tgt.runs[0], cause, now)
 		t.loseRun(tgt.runs[0], now)
 	}
 	// The target may come back under its name, and an unanswered start may then reach it.
--- a/sched/incarnation.go
+++ b/sched/incarnation.go
@@ -42,6 +42,7 @@
 			n++
 			continue
 		}
+		t.logInterrupted(it, cause, now)
 		t.revokeRun(tgt, it, now)
 		t.loseRun(it, now)
 	}
@@ -73,7 +74,7 @@
 
 // StartUnanswered records that a start got no answer and may still be delivered, and that its target is unreachable.
 func (t *Table) StartUnanswered(o StartOrder, now time.Duration) {
-	t.CallUnanswered(o.Target)
+	t.CallUnanswered(o.Target, now)
 	t.StartOutstanding(o, now)
 }
 
@@ -133,6 +134,7 @@
 		}
 		t.logEvent("expired", string(tgt.ID), "lease", tgt.Address)
 		for len(tgt.runs) > 0 {
+			t.logInterrupted(tgt.runs[0], "lease expired", now)
 			t.loseRun(tgt.runs[0], now)
 		}
 	}
--- a/sched/modelholder_test.go
+++ b/sched/modelholder_test.go
@@ -115,7 +115,7 @@
 	again := func() { h.renew(t) }
 	h.schedule(h.randomDuration(time.Millisecond, 30*time.Millisecond), func() {
 		if !h.reachable(t) {
-			h.schedule(400*time.Millisecond, func() { h.table.CallUnanswered(t.id); h.schedule(300*time.Millisecond, again) })
+			h.schedule(400*time.Millisecond, func() { h.table.CallUnanswered(t.id, h.now); h.schedule(300*time.Millisecond, again) })
 			return
 		}
 		l := t.renew(h.model, r, h.epoch)
@@ -154,7 +154,7 @@
 			if s, ok := o.(StartOrder); ok {
 				h.table.StartUnanswered(s, h.now)
 			}
-			h.table.CallUnanswered(t.id)
+			h.table.CallUnanswered(t.id, h.now)
 			h.unsentOrders[t.id] = append(h.unsentOrders[t.id], o)
 			h.schedule(150*time.Millisecond, again)
 		})
--- a/sched/renew.go
+++ b/sched/renew.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"fmt"
 	"time"
 
 	"lavenderwing.example/lavenderwing/work"
@@ -52,12 +53,12 @@
 }
 
 // CallUnanswered marks the target unreachable, because a call to it got no answer.
-func (t *Table) CallUnanswered(id work.TargetID) {
+func (t *Table) CallUnanswered(id work.TargetID, now time.Duration) {
 	tgt, ok := t.targets[id]
 	if !ok || tgt.unreachable {
 		return
 	}
-	tgt.unreachable = true
+	tgt.unreachable, tgt.unreachableSince = true, now
 	t.logEvent("silent", string(id), "no answer", tgt.Address)
 }
 
@@ -219,6 +220,19 @@
 	it.stopConfirmedAt = 0
 }
 
+// logInterrupted logs a run that ends with its target: its number, how long ago it was ordered, and, both before now, since when the target has not answered and when the run was last known to be active. A negative time means that there was no such moment.
+func (t *Table) logInterrupted(it *item, cause string, now time.Duration) {
+	tgt := it.target
+	silent, alive := int64(-1), int64(-1)
+	if tgt.unreachable {
+		silent = (now - tgt.unreachableSince).Milliseconds()
+	}
+	if it.confirmed {
+		alive = (now - max(it.confirmedAt, tgt.answeredAt)).Milliseconds()
+	}
+	t.logEvent("interrupted", it.id.String(), string(tgt.ID), fmt.Sprintf("%s run=%d orderedMs=%d silentMs=%d aliveMs=%d runs=%d", cause, it.run, (now-it.orderedAt).Milliseconds(), silent, alive, len(tgt.runs)))
+}
+
 // loseRun requeues an item whose run counts as over although no end was reported.
 func (t *Table) loseRun(it *item, now time.Duration) {
 	t.detach(it)
--- a/sched/script_test.go
+++ b/sched/script_test.go
@@ -141,7 +141,7 @@
 	case "renewalAnswered": // TARGET [running=LIST] [ended=LIST] [incarnation=N] [answer=other|fenced|unhealthy] [sent=DURATION] [acknowledged=N]
 		sr.answerRenewal(args[0], o)
 	case "callUnanswered": // TARGET
-		sr.table.CallUnanswered(work.TargetID(args[0]))
+		sr.table.CallUnanswered(work.TargetID(args[0]), sr.now)
 	case "renewal": // TARGET [shortPoll=yes|no] [needed=yes|no] [unreachable=yes|no]: prepares a renewal, which extends the lease, and checks it
 		r := sr.table.PrepareRenewal(work.TargetID(args[0]), sr.now)
 		if want, ok := o["shortPoll"]; ok {
--- a/sched/target.go
+++ b/sched/target.go
@@ -38,8 +38,11 @@
 	lastAppliedEnd      int64
 	lastRecordedEnd     int64
 	lastAcknowledgedEnd int64
-	// unreachable means that the last call to the target got no answer.
-	unreachable bool
+	// unreachable means that the last call to the target got no answer, and unreachableSince is when the first call without an answer since the last one with one ended.
+	unreachable      bool
+	unreachableSince time.Duration
+	// answeredAt is when the target last answered in its present incarnation.
+	answeredAt time.Duration
 	// quarantinedUntil is when the target may get new starts again after it was found unhealthy.
 	quarantinedUntil time.Duration
 	// quarantineLength is the length of the last quarantine, 0 after a success.
@@ -127,7 +130,7 @@
 
 // recordAnswer notes that the target answered, and the clock in its answer.
 func (t *target) recordAnswer(clockMs int64, now time.Duration) {
-	t.unreachable = false
+	t.unreachable, t.answeredAt = false, now
 	if clockMs > 0 {
 		t.clockMs, t.clockAt = clockMs, now
 	}
