A failing model of items that crash each target that starts them

The model's targets come back under their name or another, holders read a host list, and jobs without a deadly item must be completed, also after crashes of other causes.

--- a/sched/model_test.go
+++ b/sched/model_test.go
@@ -15,6 +15,8 @@
 	modelSeeds       = 250
 	modelFaultPeriod = 20 * time.Second
 	modelDeadline    = 75 * time.Second
+	// modelTargets is the number of targets at the start.
+	modelTargets = 4
 )
 
 // TestModel runs random histories on a virtual clock: delayed orders and lost answers, crashes and partitions of targets, and takeovers during which the former holder may still be active.
@@ -72,6 +74,8 @@
 	started    map[work.ItemID]time.Duration
 	violations []string
 	config     *work.Config
+	// crashes is nil unless the history has items that crash their targets.
+	crashes *modelCrashes
 }
 
 func newModel(seed int64) *model {
@@ -80,7 +84,7 @@
 		Version: 1, Pools: []work.Pool{{Name: "p"}},
 		Queues: []work.Queue{{Name: "q", Pool: "p", MaxAttempts: 100, SlackFactor: 2, FixedSlackMs: 600}},
 	}
-	for n := range 4 {
+	for n := range modelTargets {
 		m.targets = append(m.targets, &modelTarget{
 			id: work.TargetID(fmt.Sprintf("t%d", n)), cpu: 3000, alive: true, incarnation: int64(n + 1), clockRate: 0.98 + 0.02*m.Float64(),
 			runs: map[work.ItemID]*modelRun{}, lastRun: map[work.ItemID]int{},
@@ -121,8 +125,12 @@
 		return
 	}
 	for _, j := range m.jobs {
-		if _, state, _ := m.holders[len(m.holders)-1].table.Lookup(j.ID); state != work.Completed {
-			m.reportViolation("job %s is still %v at the end", j.ID, state)
+		wanted := work.Completed
+		if m.crashes != nil {
+			wanted = m.crashes.wanted(j.ID)
+		}
+		if _, state, _ := m.holders[len(m.holders)-1].table.Lookup(j.ID); state != wanted {
+			m.reportViolation("job %s is %v at the end, and should be %v", j.ID, state, wanted)
 		}
 	}
 }
@@ -137,6 +145,9 @@
 		}
 		j.Steps = append(j.Steps, s)
 	}
+	if m.crashes != nil {
+		m.crashes.submit(m, j)
+	}
 	m.jobs = append(m.jobs, j)
 	for _, h := range m.holders {
 		if h.alive {
--- /dev/null
+++ b/sched/modelcrash_test.go
@@ -0,0 +1,124 @@
+package sched
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"lavenderwing.example/lavenderwing/work"
+)
+
+const (
+	// deadlyModelSeeds is the number of random histories with items that crash their targets.
+	deadlyModelSeeds = 250
+	// modelHostListInterval is how often a holder reads the host list.
+	modelHostListInterval = 350 * time.Millisecond
+	// maxCrashes is the number of crashes under one item after which it may be started only maxStartsAfterCrashes times more.
+	maxCrashes            = 3
+	maxStartsAfterCrashes = 2
+)
+
+// modelCrashes is the part of a model in which some items crash each target that starts them.
+type modelCrashes struct {
+	// deadly holds the items that crash their targets, and how long after the start.
+	deadly map[work.ItemID]time.Duration
+	// crashed counts the crashes under each of them, and startsAfter the starts that followed maxCrashes.
+	crashed     map[work.ItemID]int
+	startsAfter map[work.ItemID]int
+	// renamed counts the targets that have come back under another name.
+	renamed int
+}
+
+// TestDeadlyItemIsGivenUpAndItsNeighboursAreNot guards against an item that crashes one target after the other, because a run that is lost with its target counts for nothing, and against giving up the work beside it.
+func TestDeadlyItemIsGivenUpAndItsNeighboursAreNot(t *testing.T) {
+	crashes := 0
+	for seed := range int64(deadlyModelSeeds) {
+		m := newModel(seed)
+		m.crashes = &modelCrashes{deadly: map[work.ItemID]time.Duration{}, crashed: map[work.ItemID]int{}, startsAfter: map[work.ItemID]int{}}
+		m.run()
+		if len(m.violations) > 0 {
+			t.Fatalf("seed %d: %v", seed, m.violations[0])
+		}
+		for _, n := range m.crashes.crashed {
+			crashes += n
+		}
+	}
+	if crashes == 0 {
+		t.Fatal("no target crashed")
+	}
+}
+
+// submit makes one item of some jobs deadly. Most of them crash their target at once, the others only after a while.
+func (c *modelCrashes) submit(m *model, j *work.Job) {
+	if m.Intn(4) > 0 {
+		return
+	}
+	s := m.Intn(len(j.Steps))
+	delay := m.randomDuration(2*time.Millisecond, 15*time.Millisecond)
+	if m.Intn(4) == 0 {
+		delay = m.randomDuration(100*time.Millisecond, 250*time.Millisecond)
+	}
+	c.deadly[work.ItemID{Job: j.ID, Step: s, Index: m.Intn(j.Steps[s].Count)}] = delay
+}
+
+// begin notes the start of an item, and crashes the target if the item is deadly.
+func (c *modelCrashes) begin(m *model, t *modelTarget, id work.ItemID) {
+	delay, deadly := c.deadly[id]
+	if !deadly {
+		return
+	}
+	if c.crashed[id] >= maxCrashes {
+		if c.startsAfter[id]++; c.startsAfter[id] > maxStartsAfterCrashes {
+			m.reportViolation("%v was started %d times after %d targets had crashed under it", id, c.startsAfter[id], maxCrashes)
+		}
+	}
+	incarnation := t.incarnation
+	m.schedule(delay, func() {
+		if t.alive && t.incarnation == incarnation && t.runs[id] != nil {
+			c.crashed[id]++
+			m.crash(t)
+		}
+	})
+}
+
+// replace has a crashed target's host come back with a target of another name.
+func (c *modelCrashes) replace(m *model, t *modelTarget) {
+	c.renamed++
+	next := &modelTarget{
+		id: work.TargetID(fmt.Sprintf("r%d", c.renamed)), cpu: t.cpu, incarnation: t.incarnation + 10, clockRate: t.clockRate,
+		runs: map[work.ItemID]*modelRun{}, lastRun: map[work.ItemID]int{},
+	}
+	t.replacement = next
+	m.targets = append(m.targets, next)
+	m.schedule(m.randomDuration(100*time.Millisecond, 4*time.Second), func() { next.alive, next.startedAt = true, m.now })
+}
+
+// wanted is the state that a job must reach.
+func (c *modelCrashes) wanted(id work.JobID) work.State {
+	for item := range c.deadly {
+		if item.Job == id {
+			return work.Failed
+		}
+	}
+	return work.Completed
+}
+
+// listHosts applies the host list, which shows a replaced target at once, and removes the entries of targets that are gone.
+func (h *modelHolder) listHosts() {
+	if !h.alive {
+		return
+	}
+	var list []work.Host
+	for n, t := range h.targets[:modelTargets] {
+		for t.replacement != nil {
+			h.table.RemoveTarget(t.id)
+			t = t.replacement
+		}
+		list = append(list, work.Host{Name: fmt.Sprintf("h%d", n), Pool: "p", State: work.HostUp, Capacity: work.Resources{CPU: t.cpu, MemMB: 1000}, Target: t.id})
+	}
+	sent := h.now
+	h.schedule(h.randomDuration(time.Millisecond, 100*time.Millisecond), func() {
+		h.table.ApplyHostList(list, sent, h.now)
+		h.schedule(modelHostListInterval, h.listHosts)
+	})
+}
--- a/sched/modelholder_test.go
+++ b/sched/modelholder_test.go
@@ -17,6 +17,8 @@
 	flushing   bool
 	// unsentOrders holds the orders that are still to be sent to each target.
 	unsentOrders map[work.TargetID][]Order
+	// driven holds the targets that the holder renews and sends orders to.
+	driven map[*modelTarget]bool
 }
 
 // takeOver begins a new epoch with a new holder. The former holder ends at once, or stays active for a while without knowing of its successor.
@@ -31,7 +33,7 @@
 		}
 	}
 	m.epoch++
-	h := &modelHolder{model: m, epoch: m.epoch, alive: true, unsentOrders: map[work.TargetID][]Order{}}
+	h := &modelHolder{model: m, epoch: m.epoch, alive: true, unsentOrders: map[work.TargetID][]Order{}, driven: map[*modelTarget]bool{}}
 	m.holders = append(m.holders, h)
 	h.table = New(testBounds(), WithToken(h.epoch, m.now))
 	h.table.Configure(m.config)
@@ -46,9 +48,21 @@
 		h.table.LoadJob(j, p, m.now)
 	}
 	m.schedule(m.randomDuration(50*time.Millisecond, 500*time.Millisecond), h.plan)
-	for _, t := range m.targets {
-		m.schedule(m.randomDuration(10*time.Millisecond, 300*time.Millisecond), func() { h.renew(t) })
-		m.schedule(m.randomDuration(10*time.Millisecond, 300*time.Millisecond), func() { h.send(t) })
+	h.driveTargets()
+	if m.crashes != nil {
+		m.schedule(m.randomDuration(0, modelHostListInterval), h.listHosts)
+	}
+}
+
+// driveTargets begins to renew and to call the targets that are new.
+func (h *modelHolder) driveTargets() {
+	for _, t := range h.targets {
+		if h.driven[t] {
+			continue
+		}
+		h.driven[t] = true
+		h.schedule(h.randomDuration(10*time.Millisecond, 300*time.Millisecond), func() { h.renew(t) })
+		h.schedule(h.randomDuration(10*time.Millisecond, 300*time.Millisecond), func() { h.send(t) })
 	}
 }
 
@@ -67,6 +81,7 @@
 		return
 	}
 	h.upsertReachableTargets()
+	h.driveTargets()
 	h.table.Plan(h.now)
 	for _, o := range h.table.TakeOrders() {
 		h.unsentOrders[TargetOf(o)] = append(h.unsentOrders[TargetOf(o)], o)
--- a/sched/modeltarget_test.go
+++ b/sched/modeltarget_test.go
@@ -29,6 +29,8 @@
 	lastEnd   int64
 	// leaseLapsedAt is when the target's lease was last found expired.
 	leaseLapsedAt time.Duration
+	// replacement is the target that the host has had since this one crashed, nil if it keeps its name.
+	replacement *modelTarget
 }
 
 func (m *model) crash(t *modelTarget) {
@@ -38,6 +40,10 @@
 	}
 	t.alive = false
 	t.runs = map[work.ItemID]*modelRun{}
+	if m.crashes != nil && m.Intn(2) == 0 {
+		m.crashes.replace(m, t)
+		return
+	}
 	m.schedule(m.randomDuration(100*time.Millisecond, 4*time.Second), func() {
 		t.alive, t.startedAt, t.incarnation = true, m.now, t.incarnation+10
 		t.token, t.lease, t.lastEnd, t.ends = 0, 0, 0, nil
@@ -135,6 +141,9 @@
 	if used > t.cpu {
 		m.reportViolation("%s runs %d millicores, more than its capacity", t.id, used)
 	}
+	if m.crashes != nil {
+		m.crashes.begin(m, t, s.Item)
+	}
 	t.lastRun[s.Item] = s.Run
 	t.runs[s.Item] = &modelRun{run: s.Run, until: m.now + m.randomDuration(300*time.Millisecond, 1500*time.Millisecond), cpu: step.Demand.CPU}
 }
