Starts are checked once more when they are sent: capacity, draining, age of the report

Cause: a start is planned by a target's report, then waits for its record and for its turn; with a slow store that takes seconds, and an unanswered start is repeated for as long as it takes. By then the target may have shrunk, or drain. A target that was cut off and has shrunk meanwhile got the repeated start before its report was read.

Change: PrepareStart, called as a start is sent, withdraws one whose target has no room for all that is charged to it or drains, and stops one that the target may have got. A target whose last report is older than its beat and contact_ms, less the time of delivery, gets no starts unless its pool enforces capacity; contact_ms and the beat are read from the settings. The targets' topic is read with a poll of 1 s, so that a lost answer costs 1.5 s.

--- a/agent/driver.go
+++ b/agent/driver.go
@@ -313,10 +313,12 @@
 	needed := h.table.StillNeeded(o)
 	start, isStart := o.(sched.StartOrder)
 	if needed && isStart {
-		start = h.table.PrepareStart(start, now)
+		start, needed = h.table.PrepareStart(start, now)
 	}
 	h.mu.Unlock()
 	if !needed {
+		// The item of a withdrawn start waits for another target.
+		h.wakeLoop()
 		return nil
 	}
 	var reply work.OrderReply
--- a/agent/holder.go
+++ b/agent/holder.go
@@ -27,8 +27,10 @@
 	tickInterval = 100 * time.Millisecond
 	// minTargetsPause is the pause after a read of the targets' topic. It is short because a moved host can be used only once its target is known.
 	minTargetsPause = 120 * time.Millisecond
-	// longPoll is how long a read of a direct partition or of the targets' topic waits for new records.
+	// longPoll is how long a read of a direct partition waits for new records.
 	longPoll = 2 * time.Second
+	// targetsPoll is how long a read of the targets' topic waits. Targets write there all the time, so that a longer wait shows a lost answer.
+	targetsPoll = time.Second
 	// maxAppendFailure is how long appends may fail before the holder reports that it cannot write to the store, so that another process takes over.
 	maxAppendFailure = 700 * time.Millisecond
 )
--- a/agent/tail.go
+++ b/agent/tail.go
@@ -99,7 +99,7 @@
 		if complete {
 			batch, err = h.agent.store.LatestTargetUpdates(storeTimeout + h.agent.link.pageTime())
 		} else {
-			batch, err = h.agent.store.ReadTargetUpdates(next, longPoll, longPoll+pollSlack)
+			batch, err = h.agent.store.ReadTargetUpdates(next, targetsPoll, targetsPoll+pollSlack)
 		}
 		h.agent.meters.storeReads.Inc(1)
 		var expired *platform.ExpiredError
--- a/sched/model_test.go
+++ b/sched/model_test.go
@@ -76,6 +76,8 @@
 	config     *work.Config
 	// crashes holds the items that crash their targets, if the history has any.
 	crashes *modelCrashes
+	// capacity changes the capacities of targets, if that is enabled.
+	capacity modelCapacity
 }
 
 func newModel(seed int64) *model {
@@ -86,7 +88,7 @@
 	}
 	for n := range modelTargets {
 		m.targets = append(m.targets, &modelTarget{
-			id: work.TargetID(fmt.Sprintf("t%d", n)), cpu: 3000, alive: true, incarnation: int64(n + 1), clockRate: 0.98 + 0.02*m.Float64(),
+			id: work.TargetID(fmt.Sprintf("t%d", n)), cpu: 3000, reportedCPU: 3000, alive: true, incarnation: int64(n + 1), clockRate: 0.98 + 0.02*m.Float64(),
 			runs: map[work.ItemID]*modelRun{}, lastRun: map[work.ItemID]int{},
 		})
 	}
@@ -116,6 +118,7 @@
 		m.schedule(m.randomDuration(0, modelFaultPeriod), m.injectFault)
 	}
 	m.schedule(0, m.stepTargets)
+	m.capacity.begin(m)
 	for len(m.events) > 0 && m.now < modelDeadline && len(m.violations) == 0 {
 		e := heap.Pop(&m.events).(timedEvent)
 		m.now = e.at
--- a/sched/modelholder_test.go
+++ b/sched/modelholder_test.go
@@ -19,6 +19,8 @@
 	unsentOrders map[work.TargetID][]Order
 	// driven holds the targets that the holder renews and sends orders to.
 	driven map[*modelTarget]bool
+	// reportsRead holds how many reports of each target the holder has read.
+	reportsRead map[*modelTarget]int
 }
 
 // takeOver begins a new epoch with a new holder. The former holder ends at once, or stays active for a while without knowing of its successor.
@@ -33,9 +35,13 @@
 		}
 	}
 	m.epoch++
-	h := &modelHolder{model: m, epoch: m.epoch, alive: true, unsentOrders: map[work.TargetID][]Order{}, driven: map[*modelTarget]bool{}}
+	h := &modelHolder{model: m, epoch: m.epoch, alive: true, unsentOrders: map[work.TargetID][]Order{}, driven: map[*modelTarget]bool{}, reportsRead: map[*modelTarget]int{}}
 	m.holders = append(m.holders, h)
-	h.table = New(testBounds(), WithToken(h.epoch, m.now))
+	bounds := testBounds()
+	if m.capacity.enabled {
+		bounds.ReportInterval, bounds.ContactTime = modelBeat, modelContact
+	}
+	h.table = New(bounds, WithToken(h.epoch, m.now))
 	h.table.Configure(m.config)
 	for _, j := range m.jobs {
 		var p *work.JobProgress
@@ -69,8 +75,8 @@
 // upsertReachableTargets applies the store's entries of the targets that are alive and reachable.
 func (h *modelHolder) upsertReachableTargets() {
 	for _, t := range h.targets {
-		if t.alive && !t.partitioned {
-			h.table.UpsertTarget(work.Target{ID: t.id, Pool: "p", Address: "a", Capacity: work.Resources{CPU: t.cpu, MemMB: 1000}, StartedMs: t.incarnation}, h.now)
+		if t.alive && !t.partitioned && h.capacity.hasNews(h, t) {
+			h.table.UpsertTarget(work.Target{ID: t.id, Pool: "p", Address: "a", Capacity: work.Resources{CPU: t.reportedCPU, MemMB: 1000}, StartedMs: t.incarnation}, h.now)
 		}
 	}
 }
@@ -99,7 +105,7 @@
 		return
 	}
 	h.flushing = true
-	h.schedule(h.randomDuration(3*time.Millisecond, 300*time.Millisecond), func() {
+	h.schedule(h.capacity.flushDelay(h.model), func() {
 		if h.epoch < h.model.epoch {
 			// The store rejects writes with an older fencing token.
 			h.alive = false
@@ -161,7 +167,12 @@
 		return
 	}
 	if s, ok := o.(StartOrder); ok {
-		o = h.table.PrepareStart(s, h.now)
+		prepared, ok := h.table.PrepareStart(s, h.now)
+		if !ok {
+			h.schedule(0, again)
+			return
+		}
+		o = prepared
 	}
 	unanswered := func() {
 		h.schedule(400*time.Millisecond, func() {
@@ -175,11 +186,13 @@
 	}
 	// Some orders are executed seconds later, and their answers are lost.
 	if h.now < modelFaultPeriod && h.Intn(25) == 0 {
-		incarnation := t.incarnation
+		incarnation, sentAt := t.incarnation, h.now
 		h.schedule(h.randomDuration(2*time.Second, 12*time.Second), func() {
 			// A holder cannot revoke a delayed order at an incarnation of which it does not know yet, so the order reaches a new incarnation only after revocationGrace (docs/PROOF.md).
 			if h.reachable(t) && (t.incarnation == incarnation || h.now-t.startedAt > revocationGrace) {
+				t.lateOrderSentAt = sentAt
 				h.execute(t, o)
+				t.lateOrderSentAt = 0
 			}
 		})
 		if _, ok := o.(StartOrder); ok && h.Intn(2) == 0 {
@@ -228,3 +241,4 @@
 	}
 	return work.OrderReply{}
 }
+
--- a/sched/modeltarget_test.go
+++ b/sched/modeltarget_test.go
@@ -13,12 +13,19 @@
 }
 
 type modelTarget struct {
-	id          work.TargetID
-	cpu         int64
-	alive       bool
-	partitioned bool
-	startedAt   time.Duration
-	incarnation int64
+	id  work.TargetID
+	cpu int64
+	// reportedCPU is the capacity that the target last reported, and pastCPU holds those that it had.
+	reportedCPU  int64
+	pastCPU      []pastCapacity
+	reports      int
+	lastReportAt time.Duration
+	// lateOrderSentAt is when the order was sent that the target carries out late now, 0 otherwise.
+	lateOrderSentAt time.Duration
+	alive           bool
+	partitioned     bool
+	startedAt       time.Duration
+	incarnation     int64
 	// clockRate is the speed of the target's clock.
 	clockRate float64
 	token     int64
@@ -138,7 +145,7 @@
 	for _, r := range t.runs {
 		used += r.cpu
 	}
-	if used > t.cpu {
+	if used > t.allowedCPU(m.now) {
 		m.reportViolation("%s runs %d millicores, more than its capacity", t.id, used)
 	}
 	m.crashes.begin(m, t, s.Item)
--- a/sched/place.go
+++ b/sched/place.go
@@ -30,7 +30,19 @@
 
 // eligible reports whether the target may run items of the step, apart from its free capacity.
 func (t *Table) eligible(s *step, tgt *target, now time.Duration) bool {
-	return tgt.usable(now) && tgt.suits(s)
+	return tgt.usable(now) && tgt.suits(s) && t.knowsCapacity(tgt, now)
+}
+
+// startDeliveryTime is how long a start may take from its last check to its target.
+const startDeliveryTime = 500 * time.Millisecond
+
+// knowsCapacity reports whether the target's last report is recent enough to start items by it. A target that has shrunk reports it within work.Bounds.ReportInterval, and may be started by its earlier capacity for work.Bounds.ContactTime after that. One that rejects what does not fit may always be asked, and targets that have all reported only once may not report regularly.
+func (t *Table) knowsCapacity(tgt *target, now time.Duration) bool {
+	if t.bounds.ReportInterval == 0 || !t.regularReports || now-tgt.reportedAt <= t.bounds.ReportInterval+t.bounds.ContactTime-startDeliveryTime {
+		return true
+	}
+	pool, ok := t.config.Pool(tgt.Pool)
+	return ok && pool.EnforcesCapacity
 }
 
 // suits reports whether the target has the label that the step requires, and may run one more of its items.
--- a/sched/renew.go
+++ b/sched/renew.go
@@ -47,17 +47,44 @@
 // shortPollPeriod is how long after the start of a serving item its target is asked to answer soon. Most items reach full speed within a second; the bound ends the frequent polls of one that never does.
 const shortPollPeriod = 3 * time.Second
 
-// PrepareStart records that a start is sent now and returns it with its lease, which ends at 0 while the target's clock is unknown. It also moves the time at which the target's lease has certainly expired.
-func (t *Table) PrepareStart(o StartOrder, now time.Duration) StartOrder {
+// PrepareStart returns a start that is sent now with its lease, whose end is 0 while the target's clock is unknown, and true. It also moves the time at which the target's lease has certainly expired. It returns false if the start must not be sent any more, because the target has shrunk or begun to drain since the start was planned.
+func (t *Table) PrepareStart(o StartOrder, now time.Duration) (StartOrder, bool) {
 	tgt, ok := t.targets[o.Target]
-	if !ok {
-		return o
+	it := t.findItem(o.Start.Item)
+	if !ok || it == nil || it.target != tgt || it.run != o.Start.Run {
+		return o, false
 	}
-	if it := t.findItem(o.Start.Item); it != nil && it.target == tgt && it.run == o.Start.Run {
-		it.sent = true
+	if cause := t.startObstacle(it, now); cause != "" {
+		t.withdrawStart(it, cause, now)
+		return o, false
 	}
+	it.sent = true
 	o.Start.LeaseExpiryMs = tgt.extendLease(now, leaseDuration)
-	return o
+	return o, true
+}
+
+// startObstacle says why the start of an item that is charged to the target must not be sent, empty if it may be.
+func (t *Table) startObstacle(it *item, now time.Duration) string {
+	tgt := it.target
+	switch {
+	case tgt.Draining && !it.sent:
+		return "target is draining"
+	case !it.step.spec.Reservation().Fits(tgt.free().Add(it.step.spec.Reservation())):
+		return "target has shrunk"
+	case !t.knowsCapacity(tgt, now):
+		return "target's report is old"
+	}
+	return ""
+}
+
+// withdrawStart requeues an item whose start has not been sent, and stops one that the target may have got without an answer.
+func (t *Table) withdrawStart(it *item, cause string, now time.Duration) {
+	t.logEvent("withdrawn", it.id.String(), string(it.target.ID), cause)
+	if it.sent {
+		t.orderStop(it, now)
+		return
+	}
+	t.loseRun(it, now)
 }
 
 // CallUnanswered marks the target unreachable, because a call to it got no answer.
--- a/sched/script_test.go
+++ b/sched/script_test.go
@@ -171,6 +171,8 @@
 		if want, ok := o["waits"]; ok {
 			sr.is.Equal(waits, want == "yes") // a record is still to be written
 		}
+	case "sendStart": // ITEM target=NAME run=N: the start is about to be sent again
+		sr.table.PrepareStart(StartOrder{Target: work.TargetID(o["target"]), Start: work.StartRequest{Item: sr.parseItem(args[0]), Run: parseNumber(o["run"])}}, sr.now)
 	case "startUnanswered": // ITEM target=NAME run=N
 		sr.table.StartUnanswered(StartOrder{Target: work.TargetID(o["target"]), Start: work.StartRequest{Item: sr.parseItem(args[0]), Run: parseNumber(o["run"])}}, sr.now)
 	case "startOutstanding": // ITEM target=NAME run=N: one of several attempts is unanswered
@@ -272,7 +274,9 @@
 	sr.table.Flushed(sr.batch)
 	for _, o := range sr.batch.Orders {
 		if start, ok := o.(StartOrder); ok {
-			sr.table.PrepareStart(start, sr.now)
+			if _, ok := sr.table.PrepareStart(start, sr.now); !ok {
+				continue
+			}
 		}
 		sr.orders = append(sr.orders, orderText(o))
 	}
--- a/sched/table.go
+++ b/sched/table.go
@@ -39,6 +39,8 @@
 	targets    map[work.TargetID]*target
 	// sortedTargets holds the targets by identifier, so that decisions do not depend on the iteration order of the map.
 	sortedTargets []*target
+	// regularReports means that a target has reported itself again, so that a target that does not is cut off from the store.
+	regularReports bool
 	// targetsByPool holds the listed targets of each pool, and is nil after the list has changed.
 	targetsByPool map[string][]*target
 	// usage holds the resources that each team's running items demand.
@@ -301,7 +303,8 @@
 	if !tgt.listed || tgt.Pool != w.Pool {
 		t.targetsByPool = nil
 	}
-	tgt.Target = w
+	t.regularReports = t.regularReports || (tgt.listed && tgt.StartedMs == w.StartedMs)
+	tgt.Target, tgt.reportedAt = w, now
 	tgt.listed = true
 	tgt.rack = w.Rack()
 	if tgt.leaseExpiresAt == 0 && !tgt.acquired && len(tgt.runs) > 0 {
--- a/sched/target.go
+++ b/sched/target.go
@@ -18,6 +18,8 @@
 	// listed means that the store holds an entry of the target.
 	listed bool
 	rack   string
+	// reportedAt is when the target's last report was read.
+	reportedAt time.Duration
 	// acquired means that the target has answered a renewal with this holder's token in its present incarnation.
 	acquired bool
 	// incarnation is the start time of the target's present incarnation, 0 while unknown.
--- a/work/settings.go
+++ b/work/settings.go
@@ -55,6 +55,10 @@
 
 // Bounds holds the limits that the platform states for its own behavior and requires of this process.
 type Bounds struct {
+	// ContactTime is how soon processes that reach each other must know what the others have reported.
+	ContactTime time.Duration
+	// ReportInterval is the interval at which targets report themselves to the store.
+	ReportInterval time.Duration
 	// MaxLease is the longest lease that a target grants.
 	MaxLease time.Duration
 	// MaxStopTime is the longest time that stopping a run takes.
