Members of a completed gang keep their room until their targets show the end

Cause: the first reported end of a gang completes all its members, which were taken off their targets at once, although the others' ends had not been listed; and once the job's completion was stored, its items were dropped, so that a member still listed as running counted for nothing. A start there exceeds the target's capacity. Ruled out for other kinds: cancelled, stopped and preempted items stay charged until their end is listed.

Change: such members count as unexpected runs until the target's next reply, and unexpected runs are sized by their job's record, which outlives its items; of an unknown job they are taken to fill the target.

--- a/sched/ends.go
+++ b/sched/ends.go
@@ -84,8 +84,10 @@
 		if other.state == itemWaiting {
 			s.waiting--
 		}
-		if other.target != nil {
+		if tgt := other.target; tgt != nil {
 			t.detach(other)
+			// The member uses its room until the target's next reply shows whether it has ended.
+			tgt.orphanUsage = tgt.orphanUsage.Add(s.spec.Reservation())
 		}
 		other.state = itemEnded
 		s.unfinished--
--- a/sched/modelholder_test.go
+++ b/sched/modelholder_test.go
@@ -241,4 +241,3 @@
 	}
 	return work.OrderReply{}
 }
-
--- a/sched/renew.go
+++ b/sched/renew.go
@@ -156,7 +156,7 @@
 	}
 }
 
-// applyRuns compares the runs in a renewal reply with the expected ones. It adopts or stops unexpected runs, and requeues the items of expected runs that the reply should list and does not. Unexpected runs of known items count against the target's capacity until they have ended; the size of other runs is not known.
+// applyRuns compares the runs in a renewal reply with the expected ones. It adopts or stops unexpected runs, and requeues the items of expected runs that the reply should list and does not. Unexpected runs count against the target's capacity until they have ended.
 func (t *Table) applyRuns(tgt *target, running []work.ActiveRun, sent, now time.Duration) {
 	tgt.orphanUsage = work.Resources{}
 	present := make([]*item, 0, len(running))
@@ -167,9 +167,7 @@
 			t.adopt(it, tgt, now)
 		}
 		if it == nil || it.state != itemOrdered || it.target != tgt || it.run != r.Run {
-			if it != nil {
-				tgt.orphanUsage = tgt.orphanUsage.Add(it.step.spec.Reservation())
-			}
+			tgt.orphanUsage = tgt.orphanUsage.Add(t.reservation(r.Item, tgt))
 			t.orders = append(t.orders, StopOrder{Target: tgt.ID, Item: r.Item, Run: r.Run})
 			continue
 		}
@@ -191,6 +189,14 @@
 	}
 }
 
+// reservation returns what an unexpected run reserves on the target: what its step says, also after the job's items have been dropped, and all there is if the job is not known.
+func (t *Table) reservation(id work.ItemID, tgt *target) work.Resources {
+	if j, ok := t.jobs[id.Job]; ok && id.Step < len(j.record.Steps) {
+		return j.record.Steps[id.Step].Reservation()
+	}
+	return tgt.Capacity
+}
+
 // mustBeListed reports whether the reply to a renewal sent at the given time lists the run if it is still active. That holds if the start or the stop was answered before the renewal was sent; otherwise the order may have reached the target after the reply was made.
 func (t *Table) mustBeListed(it *item, sent time.Duration) bool {
 	return (it.confirmed && it.confirmedAt < sent) || (it.stopping && it.stopConfirmedAt > 0 && it.stopConfirmedAt < sent)
