A serving item that crashes its targets: The others of its step serve on

Cause: a failed job's runs were all stopped at once, beyond max_unavailable, although the guilty item is away already. They now go on until the caller cancels the job, which stays failed; the cancellation of a failed job with runs is recorded and stops them, also after a takeover.

--- a/sched/crash.go
+++ b/sched/crash.go
@@ -83,6 +83,9 @@
 
 // recordCrash counts a target's crash against the items that ran there, and marks the suspects. It returns the item that caused the crash beyond doubt, or nil. The caller requeues the items afterwards.
 func (t *Table) recordCrash(tgt *target) *item {
+	if len(tgt.runs) == 0 {
+		return nil
+	}
 	suspects := tgt.crashSuspects()
 	c := &crash{}
 	var guilty *item
@@ -104,11 +107,11 @@
 			it.unexplained = append(it.unexplained, c)
 		}
 	}
+	first := ""
 	if len(suspects) > 0 {
-		t.logEvent("crashed", string(tgt.ID), tgt.Pool, fmt.Sprintf("runs=%d suspects=%d first=%s crashes=%d trial=%t", len(tgt.runs), len(suspects), suspects[0].id, suspects[0].crashes, tgt.trial != nil))
-	} else {
-		t.logEvent("crashed", string(tgt.ID), tgt.Pool, fmt.Sprintf("runs=%d suspects=0", len(tgt.runs)))
+		first = fmt.Sprintf(" first=%s crashes=%d", suspects[0].id, suspects[0].crashes)
 	}
+	t.logEvent("crashed", string(tgt.ID), tgt.Pool, fmt.Sprintf("runs=%d suspects=%d trial=%t%s", len(tgt.runs), len(suspects), tgt.trial != nil, first))
 	return guilty
 }
 
@@ -165,7 +168,12 @@
 		}
 	}
 	t.finishJob(it.step.job, work.Failed, now)
-	t.stopAllRuns(it.step.job, now)
+	t.stopRuns(it.step.job, (*item).outlivesFailure, now)
+}
+
+// outlivesFailure reports whether the item's run goes on when its job fails, until the caller cancels the job: its callers are promised that only MaxUnavailable items are stopped at once, and the guilty one is away already.
+func (it *item) outlivesFailure() bool {
+	return it.step.spec.Serving && it.step.spec.MaxUnavailable > 0
 }
 
 // clearOf clears an item of a crash that another one has caused.
--- a/sched/load.go
+++ b/sched/load.go
@@ -93,7 +93,7 @@
 		t.loadTrial(it, progress.OnTrial)
 		t.addTeamUsage(it, 1)
 		tgt.leaseExpiresAt = t.tookOverAt + inheritedLeaseDuration
-		if j.cancelled || j.state.Final() {
+		if j.cancelled || (j.state.Final() && !it.outlivesFailure()) {
 			t.orderStop(it, now)
 		}
 	}
--- a/sched/table.go
+++ b/sched/table.go
@@ -225,10 +225,20 @@
 	return n
 }
 
-// Cancel marks a job cancelled and reports whether the store does not hold the job's final state yet.
+// Cancel marks a job cancelled and reports whether the store does not hold that, or the job's final state, yet. A job that has failed stays so, and what is left of its runs is stopped.
 func (t *Table) Cancel(id work.JobID, now time.Duration) bool {
 	j, ok := t.jobs[id]
-	if !ok || j.recordedState.Final() {
+	if !ok {
+		return false
+	}
+	if j.state == work.Failed && !j.cancelled && t.hasRuns(j) {
+		j.cancelled = true
+		t.markDirty(j)
+		t.stopAllRuns(j, now)
+		t.logEvent("cancelled", string(id), "caller", "failed before")
+		return true
+	}
+	if j.recordedState.Final() {
 		return false
 	}
 	if j.cancelled || j.state.Final() {
@@ -245,10 +255,15 @@
 
 // stopAllRuns stops every run of the job that may be active.
 func (t *Table) stopAllRuns(j *job, now time.Duration) {
+	t.stopRuns(j, func(*item) bool { return false }, now)
+}
+
+// stopRuns stops the runs of the job that may be active, but for those to keep.
+func (t *Table) stopRuns(j *job, keep func(*item) bool, now time.Duration) {
 	for _, o := range j.occurrences {
 		for _, s := range o.steps {
 			for _, it := range s.items {
-				if it.state == itemOrdered {
+				if it.state == itemOrdered && !keep(it) {
 					t.orderStop(it, now)
 				}
 			}
