--- a/sched/place.go
+++ b/sched/place.go
@@ -38,7 +38,7 @@
 
 // knowsCapacity reports whether the target's last report is recent enough to start items by it. A target that has shrunk reports it within work.Bounds.ReportInterval, and may be started by its earlier capacity for work.Bounds.ContactTime after that. One that rejects what does not fit may always be asked, and targets that have all reported only once may not report regularly.
 func (t *Table) knowsCapacity(tgt *target, now time.Duration) bool {
-	if t.bounds.ReportInterval == 0 || !t.regularReports || now-tgt.reportedAt <= t.bounds.ReportInterval+t.bounds.ContactTime-startDeliveryTime {
+	if t.bounds.ReportInterval == 0 || t.bounds.ContactTime == 0 || !t.regularReports || now-tgt.reportedAt <= t.bounds.ReportInterval+t.bounds.ContactTime-startDeliveryTime {
 		return true
 	}
 	pool, ok := t.config.Pool(tgt.Pool)
