A target whose address belongs to a later one has ended, also while the cloud is silent

Found by playing deadly items while the cloud is silent: crashes showed only when the lease had expired, 5 s later, and counted for nothing, because an expired lease is no evidence of a crash. The store shows it: a crashed target comes back at its address under another name. An address has one target at a time, the one that was born last; an entry of an earlier one that arrives late changes nothing.

--- a/sched/hostlist.go
+++ b/sched/hostlist.go
@@ -94,9 +94,7 @@
 	h.Host, h.listedAt = *w, now
 	if oldTarget != "" && oldTarget != w.Target {
 		h.outcomeUnknown = h.outcomeUnknown && h.order != nil && h.order.Wave > 0
-		// A host that is away for an order, of this holder or of an earlier one, did not crash.
-		ordered := w.State == work.HostMoving || w.State == work.HostMaintenance || (h.order != nil && (h.order.stage != stageDraining || h.order.maybeExecuted))
-		t.handleGoneTarget(oldTarget, now, "host has a new target", !ordered)
+		t.handleGoneTarget(oldTarget, now, "host has a new target", !h.isOrderedAway())
 		t.forgetDelayedStarts(oldTarget)
 	}
 	if w.State == work.HostDown && w.Target != "" {
@@ -109,6 +107,11 @@
 	}
 }
 
+// isOrderedAway reports whether the host may be away for an order, of this holder or of an earlier one, so that its target's end is no crash.
+func (h *host) isOrderedAway() bool {
+	return h.State == work.HostMoving || h.State == work.HostMaintenance || (h.order != nil && (h.order.stage != stageDraining || h.order.maybeExecuted))
+}
+
 // absenceSlack is how much longer than promised a host may be away before one that is listed with its old target is taken to be back.
 const absenceSlack = 3 * time.Second
 
--- a/sched/model_test.go
+++ b/sched/model_test.go
@@ -88,7 +88,7 @@
 	}
 	for n := range modelTargets {
 		m.targets = append(m.targets, &modelTarget{
-			id: work.TargetID(fmt.Sprintf("t%d", n)), cpu: 3000, reportedCPU: 3000, alive: true, incarnation: int64(n + 1), clockRate: 0.98 + 0.02*m.Float64(),
+			id: work.TargetID(fmt.Sprintf("t%d", n)), address: fmt.Sprintf("address%d", n), cpu: 3000, reportedCPU: 3000, alive: true, incarnation: int64(n + 1), clockRate: 0.98 + 0.02*m.Float64(),
 			runs: map[work.ItemID]*modelRun{}, lastRun: map[work.ItemID]int{},
 		})
 	}
--- a/sched/modelcrash_test.go
+++ b/sched/modelcrash_test.go
@@ -92,7 +92,7 @@
 func (c *modelCrashes) replace(m *model, t *modelTarget) {
 	c.renamed++
 	next := &modelTarget{
-		id: work.TargetID(fmt.Sprintf("r%d", c.renamed)), cpu: t.cpu, reportedCPU: t.reportedCPU, incarnation: t.incarnation + 10, clockRate: t.clockRate,
+		id: work.TargetID(fmt.Sprintf("r%d", c.renamed)), address: t.address, cpu: t.cpu, reportedCPU: t.reportedCPU, incarnation: t.incarnation + 10, clockRate: t.clockRate,
 		runs: map[work.ItemID]*modelRun{}, lastRun: map[work.ItemID]int{},
 	}
 	t.replacement = next
--- a/sched/modelholder_test.go
+++ b/sched/modelholder_test.go
@@ -76,7 +76,7 @@
 func (h *modelHolder) upsertReachableTargets() {
 	for _, t := range h.targets {
 		if t.alive && !t.partitioned && h.capacity.hasNews(h, t) {
-			h.table.UpsertTarget(work.Target{ID: t.id, Pool: "p", Address: "a", Capacity: work.Resources{CPU: t.reportedCPU, MemMB: 1000}, StartedMs: t.incarnation}, h.now)
+			h.table.UpsertTarget(work.Target{ID: t.id, Pool: "p", Address: t.address, Capacity: work.Resources{CPU: t.reportedCPU, MemMB: 1000}, StartedMs: t.incarnation}, h.now)
 		}
 	}
 }
--- a/sched/modeltarget_test.go
+++ b/sched/modeltarget_test.go
@@ -13,8 +13,9 @@
 }
 
 type modelTarget struct {
-	id  work.TargetID
-	cpu int64
+	address string
+	id      work.TargetID
+	cpu     int64
 	// reportedCPU is the capacity that the target last reported, and pastCPU holds those that it had.
 	reportedCPU  int64
 	pastCPU      []pastCapacity
--- a/sched/script_test.go
+++ b/sched/script_test.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"cmp"
 	"fmt"
 	"path/filepath"
 	"sort"
@@ -131,9 +132,9 @@
 	case "team": // NAME [weight=N] [cpu=N] [mem=N] [gpus=N]: the resources are the team's cap
 		sr.config.Teams = append(sr.config.Teams, work.Team{Name: args[0], Weight: float64(max(parseNumber(o["weight"]), 1)), Cap: parseAmount(o)})
 		sr.configure()
-	case "target": // NAME pool=NAME cpu=N mem=N [gpus=N] [label=L] [rack=R] [draining=yes] [incarnation=N]: the store's entry of a target
+	case "target": // NAME pool=NAME cpu=N mem=N [gpus=N] [label=L] [rack=R] [draining=yes] [incarnation=N] [address=A]: the store's entry of a target
 		sr.table.UpsertTarget(work.Target{
-			ID: work.TargetID(args[0]), Pool: o["pool"], Address: "address-" + args[0], Capacity: parseAmount(o),
+			ID: work.TargetID(args[0]), Pool: o["pool"], Address: cmp.Or(o["address"], "address-"+args[0]), Capacity: parseAmount(o),
 			Labels: []string{o["label"], o["rack"]}, Draining: o["draining"] != "", StartedMs: int64(parseNumber(o["incarnation"])),
 		}, sr.now)
 	case "removeTarget": // NAME: the entry has been removed from the store
--- a/sched/table.go
+++ b/sched/table.go
@@ -39,6 +39,8 @@
 	targets    map[work.TargetID]*target
 	// sortedTargets holds the targets by identifier, so that decisions do not depend on the iteration order of the map.
 	sortedTargets []*target
+	// targetByAddress holds the target that has started last at each address.
+	targetByAddress map[string]*target
 	// regularReports means that a target has reported itself again, so that a target that does not is cut off from the store.
 	regularReports bool
 	// targetsByPool holds the listed targets of each pool, and is nil after the list has changed.
@@ -124,7 +126,7 @@
 func New(bounds work.Bounds, opts ...Option) *Table {
 	t := &Table{
 		bounds: bounds, config: &work.Config{}, jobs: map[work.JobID]*job{},
-		targets: map[work.TargetID]*target{}, usage: map[string]work.Resources{}, runStatsByQueue: map[string]*runStats{},
+		targets: map[work.TargetID]*target{}, targetByAddress: map[string]*target{}, usage: map[string]work.Resources{}, runStatsByQueue: map[string]*runStats{},
 		hosts: map[string]*host{}, hostRecords: map[string]work.HostOrderRecord{}, rejectedMoves: map[string]bool{},
 		waves: map[int64]*waveState{}, pools: map[string]*poolState{}, trialQueues: map[string]trialQueue{},
 	}
@@ -321,12 +323,37 @@
 	t.regularReports = t.regularReports || (tgt.listed && tgt.StartedMs == w.StartedMs)
 	tgt.Target, tgt.reportedAt = w, now
 	tgt.listed = true
+	t.claimAddress(tgt, now)
 	tgt.rack = w.Rack()
 	if tgt.leaseExpiresAt == 0 && !tgt.acquired && len(tgt.runs) > 0 {
 		tgt.leaseExpiresAt = t.tookOverAt + inheritedLeaseDuration
 	}
 }
 
+// claimAddress treats the target that had the address before as gone: an address has one target at a time, so its targets follow each other by their start.
+func (t *Table) claimAddress(tgt *target, now time.Duration) {
+	former := t.targetByAddress[tgt.Address]
+	if former != nil && former != tgt && (tgt.StartedMs == 0 || former.StartedMs == 0 || former.StartedMs >= tgt.StartedMs) {
+		return
+	}
+	t.targetByAddress[tgt.Address] = tgt
+	if former == nil || former == tgt || t.targets[former.ID] != former {
+		return
+	}
+	t.handleGoneTarget(former.ID, now, "another target has its address", !t.isOrderedAway(former))
+	t.forgetDelayedStarts(former.ID)
+}
+
+// isOrderedAway reports whether the target's host may be away for an order.
+func (t *Table) isOrderedAway(tgt *target) bool {
+	for _, h := range t.sortedHosts {
+		if h.Target == tgt.ID && h.isOrderedAway() {
+			return true
+		}
+	}
+	return false
+}
+
 // RemoveTarget applies the removal of a target's entry from the store.
 func (t *Table) RemoveTarget(id work.TargetID) {
 	if tgt, ok := t.targets[id]; ok && tgt.listed {
@@ -394,6 +421,9 @@
 			continue
 		}
 		delete(t.targets, tgt.ID)
+		if t.targetByAddress[tgt.Address] == tgt {
+			delete(t.targetByAddress, tgt.Address)
+		}
 	}
 	clear(t.sortedTargets[len(kept):])
 	t.sortedTargets = kept
