One request, record or reply that cannot be handled ends no process

A panic while a caller's request was handled ended the entry process, and the caller repeats it to the next one; forwarded, it ended the holder, and the entry process asked the next; a stored job or a target's reply ended each process that became the holder.

Change: panics are caught around requests (504, since the request may have had effects), forwarded requests, stored jobs, entries and replies of targets, operators' records, responses to calls, and steps of the table. A job or target that causes one is set aside by each holder that meets it, and the rest goes on; after a step that fails elsewhere the holder gives up its place without ending the process, so callers are still answered. Table calls of requests release the lock when they fail. Counter 'panics', lines 'panic' with the stack and 'setAside'.

--- a/agent/config.go
+++ b/agent/config.go
@@ -48,7 +48,8 @@
 		a.recordStoreAnswer()
 		next = batch.NextOffset
 		for _, u := range batch.Updates {
-			a.applyOperatorUpdate(u)
+			// A failed update is logged, and the state before it stays in force.
+			_ = a.guard("a record of operators", func() { a.applyOperatorUpdate(u) })
 		}
 	}
 }
--- a/agent/driver.go
+++ b/agent/driver.go
@@ -144,13 +144,13 @@
 func (d *driver) applyRenewal(r *sched.Renewal, reply work.RenewalReply, err error, sent time.Duration) bool {
 	h := d.holder
 	now := h.agent.clock.Now()
-	h.mu.Lock()
-	if err != nil {
-		h.table.CallUnanswered(d.id, now)
-	} else {
-		h.table.RenewalAnswered(d.id, reply, r.AcknowledgedEnd, sent, now)
-	}
-	h.mu.Unlock()
+	d.applyReply("renewal's reply", func() {
+		if err != nil {
+			h.table.CallUnanswered(d.id, now)
+		} else {
+			h.table.RenewalAnswered(d.id, reply, r.AcknowledgedEnd, sent, now)
+		}
+	})
 	h.wakeLoop()
 	switch {
 	case err != nil && !r.Unreachable:
@@ -169,6 +169,16 @@
 	}
 }
 
+// applyReply applies a reply of the target to the table. If this program cannot handle it, the target is set aside, so that its replies do not end one process after the other.
+func (d *driver) applyReply(kind string, apply func()) {
+	h := d.holder
+	if err := h.guardTable(kind+" of target "+string(d.id), apply); err != nil {
+		h.mu.Lock()
+		h.table.SetAsideTarget(d.id, err.Error())
+		h.mu.Unlock()
+	}
+}
+
 // waitForOrder waits until an order is queued, a renewal is requested or maxIdleWait has passed; it reports whether the driver is still open.
 func (d *driver) waitForOrder() bool {
 	timer := time.NewTimer(maxIdleWait)
@@ -336,15 +346,15 @@
 	if err != nil {
 		return err
 	}
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	now = h.agent.clock.Now()
-	switch o := o.(type) {
-	case sched.StartOrder:
-		h.table.StartAnswered(o, reply, now)
-	case sched.StopOrder:
-		h.table.StopAnswered(o, reply, now)
-	}
+	d.applyReply("answer to an order", func() {
+		now = h.agent.clock.Now()
+		switch o := o.(type) {
+		case sched.StartOrder:
+			h.table.StartAnswered(o, reply, now)
+		case sched.StopOrder:
+			h.table.StopAnswered(o, reply, now)
+		}
+	})
 	// A refused start puts its item back into the queue, and a fenced order ends the epoch; the loop should act on both without waiting for its next tick.
 	if reply.Status != work.OrderDone {
 		h.wakeLoop()
--- a/agent/holder.go
+++ b/agent/holder.go
@@ -214,19 +214,25 @@
 func (h *Holder) step() {
 	h.agent.clock.AddSuspension()
 	now := h.agent.clock.Now()
-	h.mu.Lock()
-	h.table.SetWallClock(time.Now().UnixMilli(), now)
-	h.table.Plan(now)
-	orders := h.table.TakeOrders()
-	events := h.table.TakeEvents()
-	adviceRequests := h.table.TakeAdviceRequests()
-	deposed := h.table.Deposed()
-	if h.driversStale || now-h.driversSyncedAt >= tickInterval {
-		h.driversStale, h.driversSyncedAt = false, now
-		h.syncDrivers()
+	var events []sched.Event
+	var adviceRequests []sched.AdviceRequest
+	var deposed bool
+	err := h.guardTable("a step of the table", func() {
+		h.table.SetWallClock(time.Now().UnixMilli(), now)
+		h.table.Plan(now)
+		orders := h.table.TakeOrders()
+		events, adviceRequests, deposed = h.table.TakeEvents(), h.table.TakeAdviceRequests(), h.table.Deposed()
+		if h.driversStale || now-h.driversSyncedAt >= tickInterval {
+			h.driversStale, h.driversSyncedAt = false, now
+			h.syncDrivers()
+		}
+		h.dispatch(orders)
+	})
+	if err != nil {
+		// What the step has left undone is not known, so the next holder reads the state from the store.
+		h.cancel(err)
+		return
 	}
-	h.dispatch(orders)
-	h.mu.Unlock()
 	h.logEvents(events)
 	h.queueAdvice(adviceRequests)
 	if deposed {
@@ -356,5 +362,9 @@
 	if h == nil || !h.ready.Load() {
 		return mesh.Reply{Outcome: mesh.NotHolder}
 	}
-	return h.handleRequest(request)
+	var reply mesh.Reply
+	if err := a.guard("request for job "+string(request.ID), func() { reply = h.handleRequest(request) }); err != nil {
+		return mesh.Reply{Outcome: mesh.Undecided, Cause: "the holder failed on this request"}
+	}
+	return reply
 }
--- a/agent/http.go
+++ b/agent/http.go
@@ -106,6 +106,15 @@
 	if a.stopping.Load() {
 		ctx.SetConnectionClose()
 	}
+	if err := a.guard("a caller's request", func() { a.serveRequest(ctx) }); err != nil {
+		// The request may have had effects before the panic.
+		ctx.Response.Reset()
+		a.refuse(ctx, &callerRequest{receivedAt: a.clock.Now()}, fasthttp.StatusGatewayTimeout, 0, "the process failed on this request")
+	}
+}
+
+// serveRequest decodes a caller's request, has the holder handle it and responds.
+func (a *Agent) serveRequest(ctx *fasthttp.RequestCtx) {
 	r, status, reason := a.readRequest(ctx)
 	if status != 0 {
 		a.refuse(ctx, r, status, 0, reason)
--- a/agent/intake.go
+++ b/agent/intake.go
@@ -9,6 +9,7 @@
 
 	"lavenderwing.example/lavenderwing/mesh"
 	"lavenderwing.example/lavenderwing/platform"
+	"lavenderwing.example/lavenderwing/sched"
 	"lavenderwing.example/lavenderwing/work"
 )
 
@@ -119,7 +120,7 @@
 		now := h.agent.clock.Now()
 		h.mu.Lock()
 		for _, s := range batch {
-			h.table.Accept(s.job, now)
+			h.accept(s.job, now)
 		}
 		h.mu.Unlock()
 		for _, s := range batch {
@@ -129,6 +130,20 @@
 	}
 }
 
+// accept adds a job that the store holds to the table and reports whether it is new. One that this program cannot handle is set aside. The caller holds the lock.
+func (h *Holder) accept(job *work.Job, now time.Duration) bool {
+	added := false
+	h.handleJob(job, now, func() { added = h.table.Accept(job, now) })
+	return added
+}
+
+// handleJob runs f for a job, and sets the job aside if this program cannot handle it; the caller holds the lock.
+func (h *Holder) handleJob(job *work.Job, now time.Duration, f func()) {
+	if err := h.agent.guard("job "+string(job.ID), f); err != nil {
+		h.table.SetAsideJob(job, err.Error(), now)
+	}
+}
+
 // close rejects all later submissions and the pending ones that no append contains yet.
 func (i *intake) close() {
 	i.mu.Lock()
@@ -159,10 +174,7 @@
 
 // submit admits a job and stores it. A job that is known already is neither admitted nor stored again, so a caller may repeat a submission.
 func (h *Holder) submit(request mesh.Request) mesh.Reply {
-	h.mu.Lock()
-	known := h.table.Known(request.ID)
-	h.mu.Unlock()
-	if known {
+	if h.knows(request.ID) {
 		return mesh.Reply{Outcome: mesh.Answered}
 	}
 	if h.cannotWrite() {
@@ -172,10 +184,7 @@
 	if err != nil {
 		return mesh.Reply{Outcome: mesh.NotDone, RetryMs: retryAfterMs, Cause: err.Error()}
 	}
-	h.mu.Lock()
-	admission := h.table.Admit(job, h.agent.clock.Now())
-	h.mu.Unlock()
-	if admission.Refused {
+	if admission := h.admit(job); admission.Refused {
 		return mesh.Reply{
 			Outcome: mesh.Overload, RetryMs: admission.RetryAfter.Milliseconds(),
 			Cause: fmt.Sprintf("work ahead takes %d ms, the job may wait %d ms", admission.ExpectedWait.Milliseconds(), admission.MaxWait.Milliseconds()),
@@ -184,12 +193,28 @@
 	return h.intake.submit(job, request.Job)
 }
 
+func (h *Holder) knows(id work.JobID) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.table.Known(id)
+}
+
+func (h *Holder) lookupRecorded(id work.JobID) (string, work.State, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.table.Lookup(id)
+}
+
+func (h *Holder) admit(job *work.Job) sched.Admission {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.table.Admit(job, h.agent.clock.Now())
+}
+
 // lookup returns a job's state, or a reply that refuses the request and false. Another process may just have stored the job directly, so lookup reads the job's direct partition once before it reports a job as unknown. It checks the team only if both the request and the job have one; those of public queues have none.
 func (h *Holder) lookup(request mesh.Request) (work.State, mesh.Reply, bool) {
 	for reread := false; ; reread = true {
-		h.mu.Lock()
-		team, state, known := h.table.Lookup(request.ID)
-		h.mu.Unlock()
+		team, state, known := h.lookupRecorded(request.ID)
 		switch {
 		case known && team != "" && request.Team != "" && team != request.Team:
 			return state, mesh.Reply{Outcome: mesh.Denied}, false
@@ -218,14 +243,7 @@
 	if _, refusal, ok := h.lookup(request); !ok {
 		return refusal
 	}
-	now := h.agent.clock.Now()
-	h.mu.Lock()
-	var recorded chan struct{}
-	if h.table.Cancel(request.ID, now) {
-		recorded = make(chan struct{})
-		h.cancelWaiters[request.ID] = append(h.cancelWaiters[request.ID], recorded)
-	}
-	h.mu.Unlock()
+	recorded := h.beginCancel(request.ID)
 	if recorded == nil {
 		return mesh.Reply{Outcome: mesh.Answered}
 	}
@@ -240,3 +258,15 @@
 	}
 	return mesh.Reply{Outcome: mesh.Undecided, RetryMs: retryAfterMs, Cause: "cancellation is not recorded yet"}
 }
+
+// beginCancel cancels a job and returns a channel that is closed once the store holds that, or nil if it does already.
+func (h *Holder) beginCancel(id work.JobID) chan struct{} {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !h.table.Cancel(id, h.agent.clock.Now()) {
+		return nil
+	}
+	recorded := make(chan struct{})
+	h.cancelWaiters[id] = append(h.cancelWaiters[id], recorded)
+	return recorded
+}
--- a/agent/metrics.go
+++ b/agent/metrics.go
@@ -26,6 +26,7 @@
 	cloudCalls  tally.Counter
 	renewals    tally.Counter
 	starts      tally.Counter
+	panics      tally.Counter
 	epoch       tally.Gauge
 	version     tally.Gauge
 	latency     [len(kindNames)]tally.Histogram
@@ -42,7 +43,7 @@
 	m := &meters{
 		scope: scope, page: page,
 		storeReads: scope.Counter("store_reads"), storeWrites: scope.Counter("store_writes"), storeErrors: scope.Counter("store_errors"),
-		cloudCalls: scope.Counter("cloud_calls"), renewals: scope.Counter("target_renewals"), starts: scope.Counter("starts"),
+		cloudCalls: scope.Counter("cloud_calls"), renewals: scope.Counter("target_renewals"), starts: scope.Counter("starts"), panics: scope.Counter("panics"),
 		epoch: scope.Gauge("holder_epoch"), version: scope.Gauge("config_version"),
 		decisions: map[string]tally.Counter{}, refusals: map[int]tally.Counter{},
 	}
--- a/agent/recover.go
+++ b/agent/recover.go
@@ -178,7 +178,7 @@
 				continue
 			}
 			if !h.table.Known(job.ID) {
-				h.table.LoadJob(job, known[r.Key], now)
+				h.handleJob(job, now, func() { h.table.LoadJob(job, known[r.Key], now) })
 			}
 		}
 	}
--- a/agent/tail.go
+++ b/agent/tail.go
@@ -84,7 +84,7 @@
 		h.agent.log.Error("cannot decode the record of a job", zap.String("job", r.Key), zap.Error(err))
 		return
 	}
-	if h.table.Accept(job, now) {
+	if h.accept(job, now) {
 		h.agent.log.Info("accepted", zap.String("job", string(job.ID)), zap.String("queue", job.Queue), zap.String("team", job.Team), zap.String("by", "store"))
 	}
 }
@@ -129,7 +129,9 @@
 	for _, u := range updates {
 		switch u := u.(type) {
 		case platform.TargetUpdate:
-			h.table.UpsertTarget(u.Target, now)
+			if err := h.agent.guard("entry of target "+string(u.Target.ID), func() { h.table.UpsertTarget(u.Target, now) }); err != nil {
+				h.table.SetAsideTarget(u.Target.ID, err.Error())
+			}
 			listed[u.Target.ID] = true
 		case platform.TargetRemoval:
 			if u.Malformed {
--- a/sched/job.go
+++ b/sched/job.go
@@ -102,9 +102,11 @@
 	cancelled     bool
 	// invalid means that the job was stored although it is not valid; it has no occurrences.
 	invalid bool
-	started bool
-	dirty   bool
-	endedMs int64
+	// setAside means that this program cannot handle the job.
+	setAside bool
+	started  bool
+	dirty    bool
+	endedMs  int64
 	// nextOccurrence is the number of occurrences that have been added.
 	nextOccurrence int
 	occurrences    []*occurrence
@@ -177,4 +179,4 @@
 }
 
 // active reports whether items of the job may still be started.
-func (j *job) active() bool { return !j.cancelled && !j.state.Final() }
+func (j *job) active() bool { return !j.cancelled && !j.setAside && !j.state.Final() }
--- a/sched/plan.go
+++ b/sched/plan.go
@@ -29,7 +29,7 @@
 			s.markNoRoom(now)
 			continue
 		}
-		if t.placeStep(s, now) {
+		if t.placeStepOrSetAside(s, now) {
 			lastUnplaced[pool] = charge
 		}
 	}
--- a/sched/table.go
+++ b/sched/table.go
@@ -367,7 +367,7 @@
 func (t *Table) Targets() []work.Target {
 	var list []work.Target
 	for _, tgt := range t.sortedTargets {
-		if tgt.Address != "" && (tgt.listed || len(tgt.runs) > 0) {
+		if tgt.Address != "" && !tgt.setAside && (tgt.listed || len(tgt.runs) > 0) {
 			list = append(list, tgt.Target)
 		}
 	}
