Soak and stand-in: Items that crash their targets, and targets that shrink

TestSoakWithDeadlyItems plays both beside the faults of TestSoak: each twelfth job of a caller has a deadly item and must be shown as failed, all others must be completed.

--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -45,9 +45,17 @@
 	soakTargets = 4
 	// spareHostTargets is more than the load needs, so that the holder orders idle hosts to the standby pool.
 	spareHostTargets = 10
-	// networkFaultKinds is the number of kinds of faults without the stalled links of the holder, and allFaultKinds with them.
+	// networkFaultKinds is the number of kinds of faults without the stalled links of the holder and the shrinking targets.
 	networkFaultKinds = 8
-	allFaultKinds     = 9
+	// stalledHolder and shrinkingTarget are further kinds of faults.
+	stalledHolder   = networkFaultKinds
+	shrinkingTarget = networkFaultKinds + 1
+	// targetCPU is the capacity of a target in millicores, and shrunkCPU that of one that has shrunk for shrinkDuration, which is longer than the larger one counts.
+	targetCPU      = 3000
+	shrunkCPU      = 1400
+	shrinkDuration = 6 * time.Second
+	// One in deadlyJobInterval jobs of a caller has an item that crashes its targets, if the test has any.
+	deadlyJobInterval = 12
 	// maxStatePolls bounds how often the state of each job is polled after the faults. The polls are 50 ms apart, so that
 	// a job has 30 s to complete.
 	maxStatePolls = 600
@@ -85,6 +93,22 @@
 	}
 }
 
+// TestSoakWithDeadlyItems guards against items that crash one target after the other, against giving up the jobs beside
+// them, and against starts on targets that have shrunk, while the faults of TestSoak are injected too.
+func TestSoakWithDeadlyItems(t *testing.T) {
+	program := buildProgram(t)
+	for n := range int64(*seeds) {
+		t.Run(fmt.Sprintf("seed%d", *firstSeed+n), func(t *testing.T) {
+			s := newSoak(t, program, *firstSeed+n, spareHostTargets)
+			s.deadly, s.extraFault = true, shrinkingTarget
+			s.run()
+			if s.platform.Checker.CrashCount() == 0 {
+				t.Fatal("no target crashed")
+			}
+		})
+	}
+}
+
 // regressionSeeds are seeds under which the test has failed before, each with the cause. A seed does not fix the timing
 // of the processes, so a run under it may miss the fault. Therefore a deterministic script tests each cause as well.
 //
@@ -112,8 +136,10 @@
 	platform *stage.Platform
 	nodes    []*node
 	faults   sync.WaitGroup
-	// faultKinds is the number of kinds of faults that are injected.
-	faultKinds int
+	// extraFault is a kind of fault that is injected beside the first networkFaultKinds, 0 if there is none.
+	extraFault int
+	// deadly means that some jobs have an item that crashes its targets.
+	deadly bool
 
 	mu           sync.Mutex
 	accepted     []work.JobID
@@ -133,15 +159,15 @@
 }
 
 func newSoak(t *testing.T, program string, seed int64, targets int) *soak {
-	s := &soak{T: t, Rand: rand.New(rand.NewSource(seed)), is: is.New(t), program: program, faultKinds: networkFaultKinds}
+	s := &soak{T: t, Rand: rand.New(rand.NewSource(seed)), is: is.New(t), program: program}
 	pools := []work.Pool{{Name: "pool"}}
 	if targets == spareHostTargets {
 		// Idle hosts are ordered to the standby pool again and again, because the cloud refuses.
 		pools = append(pools, work.Pool{Name: "standby", Standby: true})
-		s.faultKinds = allFaultKinds
+		s.extraFault = stalledHolder
 	}
 	// The platform needs an address for the store, one for the cloud and one per target.
-	p, err := stage.New(fake.LoopbackAddresses(2+targets), "pool", targets, work.Resources{CPU: 3000, MemMB: 1000})
+	p, err := stage.New(fake.LoopbackAddresses(2+targets), "pool", targets, work.Resources{CPU: targetCPU, MemMB: 1000})
 	s.is.NoErr(err)
 	s.platform = p
 	t.Cleanup(p.Close)
@@ -243,7 +269,7 @@
 func (s *soak) injectFault() {
 	n := s.nodes[s.Intn(len(s.nodes))]
 	duration := time.Duration(s.Int63n(int64(maxFaultDuration)))
-	kind, target := s.Intn(s.faultKinds), s.platform.Targets[s.Intn(len(s.platform.Targets))]
+	kind, target := s.randomFaultKind(), s.platform.Targets[s.Intn(len(s.platform.Targets))]
 	mode := proxyMode(1 + s.Intn(int(proxyModeCount)-1))
 	s.faults.Add(1)
 	go func() {
@@ -278,8 +304,12 @@
 		case 5:
 			// The process reloads its settings.
 			n.signal(syscall.SIGHUP)
-		case networkFaultKinds:
+		case stalledHolder:
 			s.stallHolder()
+		case shrinkingTarget:
+			target.SetCPU(shrunkCPU)
+			time.Sleep(shrinkDuration)
+			target.SetCPU(targetCPU)
 		default:
 			// The proxy between the node and the store is in one of its modes other than passing.
 			n.proxy.setMode(mode)
@@ -289,6 +319,20 @@
 	}()
 }
 
+// randomFaultKind returns one of the kinds of faults that the test injects.
+func (s *soak) randomFaultKind() int {
+	if s.extraFault == 0 {
+		return s.Intn(networkFaultKinds)
+	}
+	if kind := s.Intn(networkFaultKinds + 1); kind < networkFaultKinds {
+		return kind
+	}
+	return s.extraFault
+}
+
+// isDeadly reports whether a caller's job with the number has an item that crashes its targets.
+func (s *soak) isDeadly(number int) bool { return s.deadly && number%deadlyJobInterval == 3 }
+
 // stallHolder lets the network between the holder and the platform drop all packets for longer than a successor waits before it orders the same hosts; what the holder has sent arrives afterwards. The cloud is cut off first, so that orders are under way when the store is cut off too.
 func (s *soak) stallHolder() {
 	n := s.holder()
@@ -329,6 +373,9 @@
 			{Count: 2, Demand: work.Resources{CPU: 700, MemMB: 1}, EstimateMs: 150},
 			{Count: 1, Demand: work.Resources{CPU: 700, MemMB: 1}, EstimateMs: 150, After: []int{0}},
 		}}
+		if s.isDeadly(n) {
+			job.Spec += fmt.Sprintf(" deadly=%d.0=%d", n%2, 2+n%30)
+		}
 		s.platform.Checker.AddJob(job)
 		body, err := stage.JobBody(job)
 		s.is.NoErr(err)
@@ -387,25 +434,32 @@
 	client := &fasthttp.Client{}
 	for _, id := range s.accepted {
 		var body string
-		done := false
+		done, wanted := false, work.Completed
+		number, err := strconv.ParseInt(string(id[8:]), 16, 64)
+		s.is.NoErr(err)
+		if s.isDeadly(int(number)) {
+			wanted = work.Failed
+		}
 		for poll := 0; poll < maxStatePolls && !done; poll++ {
 			n := s.nodes[poll%soakNodes]
 			status := s.sendRequest(client, n, "GET", id, nil, &body)
 			if status == fasthttp.StatusGone {
 				s.Fatalf("job %s was accepted, but %s replied that it does not know the job", id, n.name)
 			}
-			done = status == fasthttp.StatusOK && body == platform.StateBody(work.Completed)
+			done = status == fasthttp.StatusOK && body == platform.StateBody(wanted)
 			if !done {
 				time.Sleep(50 * time.Millisecond)
 			}
 		}
 		if !done {
-			s.Fatalf("job %s was accepted but did not complete in time; the last response was: %s", id, body)
+			s.Fatalf("job %s was accepted but not %s in time; the last response was: %s", id, wanted, body)
+		}
+		if wanted == work.Completed {
+			s.platform.Checker.JobCompleted(id)
 		}
-		s.platform.Checker.JobCompleted(id)
 	}
 	if violations := s.platform.Checker.Violations(); len(violations) > 0 {
 		s.Fatalf("platform rules violated: %v", violations)
 	}
-	s.Logf("%d jobs accepted and completed, %d refused, %d starts, %d orders for hosts", len(s.accepted), s.refusedCount, s.platform.Checker.StartCount(), s.platform.Checker.HostOrderCount())
+	s.Logf("%d jobs accepted and ended as they should, %d refused, %d starts, %d orders for hosts, %d crashes under items", len(s.accepted), s.refusedCount, s.platform.Checker.StartCount(), s.platform.Checker.HostOrderCount(), s.platform.Checker.CrashCount())
 }
