Starts are checked against the team's cap when they are sent, and gangs withdrawn whole

Found by asking what acts on a permission read earlier. A start that waits for its record while a configuration lowers its team's cap was sent by the old cap, seconds later with a slow store; and withdrawing one member of a gang left the others to wait alone. Ruled out: cancelled jobs (their starts are dropped), tickets (the advice queue's targets reject old ones), withdrawn keys (checked when the request is read; queued work of a team outlives its keys by the page).

--- a/sched/renew.go
+++ b/sched/renew.go
@@ -47,7 +47,7 @@
 // shortPollPeriod is how long after the start of a serving item its target is asked to answer soon. Most items reach full speed within a second; the bound ends the frequent polls of one that never does.
 const shortPollPeriod = 3 * time.Second
 
-// PrepareStart returns a start that is sent now with its lease, whose end is 0 while the target's clock is unknown, and true. It also moves the time at which the target's lease has certainly expired. It returns false if the start must not be sent any more, because the target has shrunk or begun to drain since the start was planned.
+// PrepareStart returns a start that is sent now with its lease, whose end is 0 while the target's clock is unknown, and true. It also moves the time at which the target's lease has certainly expired. It returns false if the start must not be sent any more, because the target has shrunk or begun to drain, or the team's cap was lowered, since the start was planned.
 func (t *Table) PrepareStart(o StartOrder, now time.Duration) (StartOrder, bool) {
 	tgt, ok := t.targets[o.Target]
 	it := t.findItem(o.Start.Item)
@@ -73,18 +73,28 @@
 		return "target has shrunk"
 	case !t.knowsCapacity(tgt, now):
 		return "target's report is old"
+	case !t.withinTeamCap(it.step, 0):
+		return "team's cap was lowered"
 	}
 	return ""
 }
 
-// withdrawStart requeues an item whose start has not been sent, and stops one that the target may have got without an answer.
+// withdrawStart requeues an item whose start has not been sent, and stops one that the target may have got without an answer. The other members of a gang would wait for it in vain, so they are withdrawn too.
 func (t *Table) withdrawStart(it *item, cause string, now time.Duration) {
 	t.logEvent("withdrawn", it.id.String(), string(it.target.ID), cause)
-	if it.sent {
-		t.orderStop(it, now)
-		return
+	withdrawn := []*item{it}
+	if it.step.spec.Gang {
+		withdrawn = it.step.items
+	}
+	for _, other := range withdrawn {
+		switch {
+		case other.state != itemOrdered:
+		case other.sent:
+			t.orderStop(other, now)
+		default:
+			t.loseRun(other, now)
+		}
 	}
-	t.loseRun(it, now)
 }
 
 // CallUnanswered marks the target unreachable, because a call to it got no answer.
--- a/sched/script_test.go
+++ b/sched/script_test.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"fmt"
 	"path/filepath"
+	"slices"
 	"sort"
 	"strings"
 	"testing"
@@ -132,6 +133,15 @@
 	case "team": // NAME [weight=N] [cpu=N] [mem=N] [gpus=N]: the resources are the team's cap
 		sr.config.Teams = append(sr.config.Teams, work.Team{Name: args[0], Weight: float64(max(parseNumber(o["weight"]), 1)), Cap: parseAmount(o)})
 		sr.configure()
+	case "cap": // TEAM [cpu=N] [mem=N] [gpus=N]: a configuration changes a team's cap
+		teams := slices.Clone(sr.config.Teams)
+		for n := range teams {
+			if teams[n].Name == args[0] {
+				teams[n].Cap = parseAmount(o)
+			}
+		}
+		sr.config.Teams = teams
+		sr.configure()
 	case "target": // NAME pool=NAME cpu=N mem=N [gpus=N] [label=L] [rack=R] [draining=yes] [incarnation=N] [address=A]: the store's entry of a target
 		sr.table.UpsertTarget(work.Target{
 			ID: work.TargetID(args[0]), Pool: o["pool"], Address: cmp.Or(o["address"], "address-"+args[0]), Capacity: parseAmount(o),
