A process that has only read who the holder was does not keep others from replacing it

Cause: a process of the rolling restart had started at 34.07 s, 0.6 s after the holder's zone was cut off; it read in the store who the holder was, counted that as hearing it, and answered the probes of the others accordingly until 34.57 s. Hearing means an answer of the holder now, or its own notice. The test failed before.

--- a/agent/handler.go
+++ b/agent/handler.go
@@ -67,6 +67,7 @@
 		a.detector.RecordVacancy(notice.Epoch, now+a.claimDelay(notice.Successor))
 	} else {
 		a.detector.Follow(elect.Holder{Claim: elect.Claim{Node: notice.Node, Address: notice.Address}, Epoch: notice.Epoch}, now)
+		a.detector.RecordHeartbeat(notice.Epoch, false, now)
 	}
 	h := a.active
 	a.mu.Unlock()
--- a/elect/elect.go
+++ b/elect/elect.go
@@ -79,6 +79,8 @@
 	known  bool
 	// heardAt is when the holder last answered a heartbeat, or when this process learned of it.
 	heardAt time.Duration
+	// answered means that the holder has answered this process, which otherwise knows of it from the store or from others.
+	answered bool
 	// cannotWrite means that the holder says that it cannot write to the store.
 	cannotWrite bool
 	// vacant means that the holder resigned or is certainly no longer the holder.
@@ -115,7 +117,7 @@
 		d.changedAt = now
 	}
 	d.holder, d.known = h, true
-	d.heardAt, d.refusedAt, d.vacant = now, 0, false
+	d.heardAt, d.refusedAt, d.vacant, d.answered = now, 0, false, false
 	d.cannotWrite, d.storeReadAt = false, 0
 	return true
 }
@@ -128,7 +130,7 @@
 	if !d.known || epoch != d.holder.Epoch {
 		return
 	}
-	d.heardAt, d.refusedAt = now, 0
+	d.heardAt, d.refusedAt, d.answered = now, 0, true
 	if !cannotWrite {
 		d.storeReadAt = 0
 	}
@@ -201,9 +203,9 @@
 // IsVacant reports whether no holder is known or the last known one is no longer the holder.
 func (d *FailureDetector) IsVacant() bool { return !d.known || d.vacant }
 
-// HeardAgo returns how long ago the holder of the epoch was heard, and false if this process follows another holder or the holder seems to be gone.
+// HeardAgo returns how long ago the holder of the epoch was heard, and false if this process follows another holder or has never heard it, or if the holder seems to be gone.
 func (d *FailureDetector) HeardAgo(epoch int64, now time.Duration) (time.Duration, bool) {
-	if !d.known || d.holder.Epoch != epoch || d.vacant || d.refusedAt > 0 {
+	if !d.known || !d.answered || d.holder.Epoch != epoch || d.vacant || d.refusedAt > 0 {
 		return 0, false
 	}
 	return now - d.heardAt, true
--- a/elect/elect_test.go
+++ b/elect/elect_test.go
@@ -171,3 +171,16 @@
 	is.Equal(d.HeartbeatTimeout(soon), minHeartbeatTimeout)
 	is.Equal(d.NextCheckIn(0, time.Second+HolderTimeout), HeartbeatInterval) // the look that was due has been taken
 }
+
+// TestHolderThatWasOnlyReadAboutDoesNotCountAsHeard guards against a process that has just started, has read in the store who the holder was, and keeps the others from replacing it by saying that it was heard.
+func TestHolderThatWasOnlyReadAboutDoesNotCountAsHeard(t *testing.T) {
+	is := is.New(t)
+	d := newDetector(time.Second)
+	_, heard := d.HeardAgo(3, time.Second+MaxHeardAge/2)
+	is.True(!heard)
+	is.True(!d.ShouldClaim(0, time.Second+MaxHeardAge/2)) // it still gives the holder time to answer
+	d.RecordHeartbeat(3, false, 2*time.Second)
+	ago, heard := d.HeardAgo(3, 2*time.Second+MaxHeardAge/2)
+	is.True(heard)
+	is.Equal(ago, MaxHeardAge/2)
+}
