A successor goes on with the run times and the burst that its predecessor knew

Cause: run times that were learned and the rate of arrivals lived in the holder's memory only. Change: the run times are recorded each 2 s with a batch that is written anyway (some 45 bytes a queue); arrivals of the last second are restored from the jobs' records, and jobs that were stored without a holder count for when they arrived.

--- a/agent/recover.go
+++ b/agent/recover.go
@@ -182,6 +182,7 @@
 			}
 		}
 	}
+	h.table.RestoreArrivals(now)
 	for _, r := range direct {
 		h.applyDirect(r)
 	}
--- a/sched/burst.go
+++ b/sched/burst.go
@@ -36,10 +36,14 @@
 	}
 }
 
-// add adds the work of a job, in millicore-seconds.
-func (m *burstMeter) add(work float64, now time.Duration) {
+// add adds the work, in millicore-seconds, of a job that arrived at the given time, unless that is too long ago.
+func (m *burstMeter) add(work float64, at, now time.Duration) {
 	m.advance(now)
-	b := &m.buckets[m.latest%burstBuckets]
+	n := int64(at / burstBucket)
+	if n <= m.latest-burstBuckets {
+		return
+	}
+	b := &m.buckets[n%burstBuckets]
 	b.work += work
 	b.squares += work * work
 }
--- a/sched/burst_test.go
+++ b/sched/burst_test.go
@@ -25,7 +25,7 @@
 		for chance := rate * 0.01; chance > 0; chance-- {
 			if random.Float64() < chance {
 				width := 1 + random.Intn(15)
-				p.addArrival(&work.Job{Steps: []work.Step{{Count: width, Demand: work.Resources{CPU: cpu, MemMB: 1}, EstimateMs: estimateMs}}}, stats, now)
+				p.addArrival(&work.Job{Steps: []work.Step{{Count: width, Demand: work.Resources{CPU: cpu, MemMB: 1}, EstimateMs: estimateMs}}}, stats, now, now)
 			}
 		}
 		mean = after * 8 * cpu * estimateMs / 1000
--- a/sched/flush.go
+++ b/sched/flush.go
@@ -1,6 +1,8 @@
 package sched
 
 import (
+	"maps"
+	"slices"
 	"strconv"
 	"time"
 
@@ -86,6 +88,9 @@
 	if err := t.flushHosts(b, now); err != nil {
 		return nil, err
 	}
+	if err := t.flushRunStats(b, now); err != nil {
+		return nil, err
+	}
 	for _, tgt := range t.sortedTargets {
 		if tgt.lastAppliedEnd > tgt.lastRecordedEnd {
 			b.acks = append(b.acks, ack{target: tgt, incarnation: tgt.incarnation, number: tgt.lastAppliedEnd})
@@ -94,6 +99,32 @@
 	return b, nil
 }
 
+// statsInterval is how often the statistics of runs are recorded; they change slowly.
+const statsInterval = 2 * time.Second
+
+// flushRunStats adds the statistics of runs to a batch that has other records too.
+func (t *Table) flushRunStats(b *Batch, now time.Duration) error {
+	if len(b.Entries) == 0 || now-t.statsRecordedAt < statsInterval {
+		return nil
+	}
+	record := work.RunStatsRecord{}
+	for _, queue := range slices.Sorted(maps.Keys(t.runStatsByQueue)) {
+		if s := t.runStatsByQueue[queue]; s.runs > 0 {
+			record.Queues = append(record.Queues, work.QueueRunStats{Queue: queue, Runs: s.runs, Mean: s.mean, Variance: s.variance, Bias: s.bias, ErrorVariance: s.errorVariance})
+		}
+	}
+	if len(record.Queues) == 0 {
+		return nil
+	}
+	value, err := work.Encode(&record)
+	if err != nil {
+		return err
+	}
+	t.statsRecordedAt = now
+	b.Entries = append(b.Entries, Entry{Key: statsKey, Value: value})
+	return nil
+}
+
 // flushHosts adds the records of host orders, of the clocks that date them, and of waves.
 func (t *Table) flushHosts(b *Batch, now time.Duration) error {
 	b.HostOrders = t.issuedHostOrders
--- a/sched/host.go
+++ b/sched/host.go
@@ -8,17 +8,19 @@
 	"lavenderwing.example/lavenderwing/work"
 )
 
-// Keys and key prefixes of the records of hosts, waves and clocks.
+// Keys and key prefixes of the records of hosts, waves, clocks and statistics.
 const (
 	hostPrefix = "host/"
 	wavePrefix = "wave/"
 	// clockKey is the key of the holder's work.HolderClockRecord.
 	clockKey = "clock"
+	// statsKey is the key of the holder's work.RunStatsRecord.
+	statsKey = "stats"
 )
 
 // IsJobKey reports whether a record's key is that of a job.
 func IsJobKey(key string) bool {
-	return key != clockKey && !strings.HasPrefix(key, hostPrefix) && !strings.HasPrefix(key, wavePrefix)
+	return key != clockKey && key != statsKey && !strings.HasPrefix(key, hostPrefix) && !strings.HasPrefix(key, wavePrefix)
 }
 
 // HostOrder tells the cloud to move a host into a pool or to begin its maintenance for a wave.
--- a/sched/load.go
+++ b/sched/load.go
@@ -11,11 +11,14 @@
 	"lavenderwing.example/lavenderwing/work"
 )
 
-// LoadHostOrWave restores the progress of a host or wave, or an earlier holder's clocks, from its record.
+// LoadHostOrWave restores the progress of a host or wave, or an earlier holder's clocks or statistics, from its record.
 func (t *Table) LoadHostOrWave(key string, value []byte) error {
 	if key == clockKey {
 		return work.Decode(value, &t.earlierClocks)
 	}
+	if key == statsKey {
+		return t.loadRunStats(value)
+	}
 	if name, ok := strings.CutPrefix(key, hostPrefix); ok {
 		var record work.HostOrderRecord
 		if err := work.Decode(value, &record); err != nil {
@@ -61,6 +64,27 @@
 	}
 }
 
+// loadRunStats restores what an earlier holder has learned of run times.
+func (t *Table) loadRunStats(value []byte) error {
+	var record work.RunStatsRecord
+	if err := work.Decode(value, &record); err != nil {
+		return err
+	}
+	for _, q := range record.Queues {
+		*t.ensureRunStats(q.Queue) = runStats{runs: q.Runs, mean: q.Mean, variance: q.Variance, bias: q.Bias, errorVariance: q.ErrorVariance}
+	}
+	return nil
+}
+
+// RestoreArrivals adds the jobs that were accepted lately to the measured arrivals, so that a burst under way is not taken for new. It is called once all jobs are loaded.
+func (t *Table) RestoreArrivals(now time.Duration) {
+	for _, j := range t.activeJobs {
+		if j.active() && now-j.acceptedAt < arrivalWindow {
+			t.ensurePool(j.queue.Pool).addArrival(j.record, t.ensureRunStats(j.queue.Name), j.acceptedAt, now)
+		}
+	}
+}
+
 // loadItem restores an item from its progress; a run may still be active on its target.
 func (t *Table) loadItem(j *job, progress *work.ItemProgress, now time.Duration) {
 	for j.record.Occurrences > 0 && j.nextOccurrence <= progress.Occurrence {
--- a/sched/pools.go
+++ b/sched/pools.go
@@ -122,8 +122,8 @@
 	}
 }
 
-// addArrival adds a job's work to the average of the arriving work. The run times are those expected after the queue's finished runs.
-func (p *poolState) addArrival(j *work.Job, stats *runStats, now time.Duration) {
+// addArrival adds the work of a job that arrived at the given time, which may be some time ago, to the average of the arriving work. The run times are those expected after the queue's finished runs.
+func (p *poolState) addArrival(j *work.Job, stats *runStats, at, now time.Duration) {
 	total := 0.0
 	for i := range j.Steps {
 		s := &j.Steps[i]
@@ -132,9 +132,10 @@
 		}
 		total += float64(int64(s.Count)*p.cpuEquivalent(s.Reservation())) * stats.expectedMs(s.EstimateMs) / 1000
 	}
-	p.arrivalCPU = p.arrivalAt(now) + total/arrivalWindow.Seconds()
+	decay := math.Exp(-(now - at).Seconds() / arrivalWindow.Seconds())
+	p.arrivalCPU = p.arrivalAt(now) + total*decay/arrivalWindow.Seconds()
 	p.arrivalUpdatedAt = now
-	p.burst.add(total, now)
+	p.burst.add(total, at, now)
 }
 
 // arrivalAt is the average of the arriving work at the given time.
--- a/sched/pools_test.go
+++ b/sched/pools_test.go
@@ -15,12 +15,12 @@
 	j := &work.Job{Steps: []work.Step{{Count: 4, Demand: work.Resources{CPU: 1000, MemMB: 1}, EstimateMs: 2000}}}
 	stats := &runStats{}
 	declared := &poolState{}
-	declared.addArrival(j, stats, time.Second)
+	declared.addArrival(j, stats, time.Second, time.Second)
 	for range 200 {
 		stats.observe(time.Second, 2000)
 	}
 	observed := &poolState{}
-	observed.addArrival(j, stats, time.Second)
+	observed.addArrival(j, stats, time.Second, time.Second)
 	is.Equal(int(declared.arrivalCPU), 8000)
 	is.True(observed.arrivalCPU > 3900 && observed.arrivalCPU < 4100) // half of what was declared
 }
@@ -34,7 +34,7 @@
 		for n := range int64(100) {
 			now := time.Duration(n) * hostPlanInterval
 			cpu := from + (to-from)*n/100
-			p.addArrival(&work.Job{Steps: []work.Step{{Count: 1, Demand: work.Resources{CPU: cpu, MemMB: 1}, EstimateMs: 100}}}, stats, now)
+			p.addArrival(&work.Job{Steps: []work.Step{{Count: 1, Demand: work.Resources{CPU: cpu, MemMB: 1}, EstimateMs: 100}}}, stats, now, now)
 			forecast = p.updateForecast(now)
 			p.measuredAt = now
 			arriving = p.arrivalAt(now)
--- a/sched/table.go
+++ b/sched/table.go
@@ -84,6 +84,8 @@
 	pools       map[string]*poolState
 	// hostsPlannedAt is when host orders were last planned.
 	hostsPlannedAt time.Duration
+	// statsRecordedAt is when the statistics of runs were last added to a batch.
+	statsRecordedAt time.Duration
 	// teamLoadsMeasuredAt is when the teams' running load was last measured.
 	teamLoadsMeasuredAt time.Duration
 	// poolsLoggedAt is when the pools' sizes were last logged.
@@ -170,10 +172,16 @@
 	if j.invalid {
 		return true
 	}
-	t.ensurePool(j.queue.Pool).addArrival(record, t.ensureRunStats(j.queue.Name), now)
+	t.ensurePool(j.queue.Pool).addArrival(record, t.ensureRunStats(j.queue.Name), t.arrivedAt(record, now), now)
 	return true
 }
 
+// arrivedAt is when a job that is added now arrived. A job that was stored without a holder did so some time ago, by the time of day of another host, which is not trusted further than arrivalWindow.
+func (t *Table) arrivedAt(record *work.Job, now time.Duration) time.Duration {
+	age := time.Duration(t.wallMs(now)-record.AcceptedMs) * time.Millisecond
+	return now - min(max(age, 0), arrivalWindow)
+}
+
 // addJob adds a job that was accepted at the given time; if its queue is not configured, it gets a single attempt. A stored job that is not valid fails at once and gets no items, because its numbers cannot be trusted.
 func (t *Table) addJob(record *work.Job, acceptedAt time.Duration) *job {
 	q, ok := t.config.Queue(record.Queue)
--- a/work/record.go
+++ b/work/record.go
@@ -113,6 +113,24 @@
 	Clocks    []TargetClock
 }
 
+// RunStatsRecord holds what a holder has learned of run times, so that its successor need not begin anew.
+type RunStatsRecord struct {
+	_      struct{} `cbor:",toarray"`
+	Queues []QueueRunStats
+}
+
+// QueueRunStats holds the statistics of a queue's finished runs, in logarithms of milliseconds.
+type QueueRunStats struct {
+	_     struct{} `cbor:",toarray"`
+	Queue string
+	Runs  float64
+	// Mean and Variance are of the run times, Bias and ErrorVariance of their ratios to the declared ones.
+	Mean          float64
+	Variance      float64
+	Bias          float64
+	ErrorVariance float64
+}
+
 // TargetClock is a reading of the clock of one incarnation of a target.
 type TargetClock struct {
 	_      struct{} `cbor:",toarray"`
