A process that has just started can take over: Arrivals before its start

Cause: the index into the buckets of a burst was computed without regard to negative times. TestProcessThatHasJustStarted... panicked before. Loading the state is guarded like the rest now: such a mistake ends the epoch, not the process.

--- a/agent/holder.go
+++ b/agent/holder.go
@@ -115,7 +115,11 @@
 	// The cloud does not check fencing tokens, so no order may be under way once the epoch has ended.
 	context.AfterFunc(h.ctx, h.cloud.Close)
 	began := h.agent.clock.Now()
-	if err := h.recover(); err != nil {
+	var err error
+	if failure := h.agent.guard("the state in the store", func() { err = h.recover() }); failure != nil {
+		err = failure
+	}
+	if err != nil {
 		h.cancel(err)
 		return trace.Wrap(err)
 	}
--- a/sched/burst.go
+++ b/sched/burst.go
@@ -39,11 +39,12 @@
 // add adds the work, in millicore-seconds, of a job that arrived at the given time, unless that is too long ago.
 func (m *burstMeter) add(work float64, at, now time.Duration) {
 	m.advance(now)
-	n := int64(at / burstBucket)
+	// The time is negative if the job arrived before this process started.
+	n := int64(math.Floor(float64(at) / float64(burstBucket)))
 	if n <= m.latest-burstBuckets {
 		return
 	}
-	b := &m.buckets[n%burstBuckets]
+	b := &m.buckets[(n+burstBuckets)%burstBuckets]
 	b.work += work
 	b.squares += work * work
 }
--- a/sched/takeover_test.go
+++ b/sched/takeover_test.go
@@ -69,3 +69,19 @@
 	}
 	is.True(table.pools["p"].burst.rate(now) < 1.5*perSecond) // they arrived over a second
 }
+
+// TestProcessThatHasJustStartedTakesOver guards against a successor that ends itself because jobs arrived before it started, at negative times of its clock.
+func TestProcessThatHasJustStartedTakesOver(t *testing.T) {
+	is := is.New(t)
+	now := 330 * time.Millisecond
+	table := New(testBounds(), WithToken(2, now))
+	table.SetWallClock(1_700_000_000_000, now)
+	table.Configure(&work.Config{Version: 1, Pools: []work.Pool{{Name: "p"}}, Queues: []work.Queue{{Name: "q", Pool: "p", SlackFactor: 2}}})
+	job := func(id work.JobID, ago int64) *work.Job {
+		return &work.Job{ID: id, Queue: "q", Pool: "p", AcceptedMs: 1_700_000_000_000 - ago, Steps: []work.Step{{Count: 5, Demand: work.Resources{CPU: 1000, MemMB: 1}, EstimateMs: 800}}}
+	}
+	table.LoadJob(job("a000000000000000", 450), nil, now)
+	table.RestoreArrivals(now)
+	table.Accept(job("b000000000000000", 500), now)
+	is.True(table.pools["p"].burst.rate(now) > 0)
+}
