--- a/agent/agent.go
+++ b/agent/agent.go
@@ -107,6 +107,8 @@
 	share float64
 	// startedAt is when the process started, by this process's clock.
 	startedAt time.Duration
+	// stopping means that the process is stopping and cannot become the holder.
+	stopping bool
 }
 
 // configState is the configuration in force, decoded and as written.
--- a/agent/authority.go
+++ b/agent/authority.go
@@ -53,7 +53,7 @@
 // minSuccessorUptime is how long a process must have been running to be named as successor, enough to learn the configuration and the members.
 const minSuccessorUptime = time.Second
 
-// successor returns the address of the live follower with the largest CPU share, or an empty string if that share is not more than yieldShareRatio times this process's own. A stopping process names a successor whatever its share. Among followers with the same share it is the one that started last: during a rolling restart, the others are still to be stopped.
+// successor returns the address of the live follower that is not stopping and has the largest CPU share, or an empty string if that share is not more than yieldShareRatio times this process's own. A stopping process names a successor whatever its share. Among followers with the same share it is the one that started last: during a rolling restart, the others are still to be stopped.
 func (h *Holder) successor() string {
 	a := h.agent
 	a.mu.Lock()
@@ -66,7 +66,7 @@
 	}
 	for _, address := range a.liveMembers() {
 		m := a.members[address]
-		if address == a.address || now-m.heardAt >= followerTimeout {
+		if address == a.address || m.stopping || now-m.heardAt >= followerTimeout {
 			continue
 		}
 		startedLater := m.share == best && successor != "" && m.startedAt > startedAt && now-m.startedAt >= minSuccessorUptime
--- a/agent/follow.go
+++ b/agent/follow.go
@@ -76,7 +76,7 @@
 	timeout := a.detector.HeartbeatTimeout(sent)
 	a.mu.Unlock()
 	reply, err := a.peers.SendHeartbeat(holder.Address, mesh.Heartbeat{
-		Node: a.settings.Node, Address: a.address, Epoch: holder.Epoch, Version: a.configVersion(), Share: a.settings.CPUShare, UptimeMs: sent.Milliseconds(), AsksMembers: askMembers, StoreLost: a.storeAnsweredAt.Load() < 0,
+		Node: a.settings.Node, Address: a.address, Epoch: holder.Epoch, Version: a.configVersion(), Share: a.settings.CPUShare, UptimeMs: sent.Milliseconds(), Stopping: a.stopping.Load(), AsksMembers: askMembers, StoreLost: a.storeAnsweredAt.Load() < 0,
 	}, timeout)
 	now := a.clock.Now()
 	if err != nil {
--- a/agent/handler.go
+++ b/agent/handler.go
@@ -17,7 +17,7 @@
 	holder, _ := a.detector.Holder()
 	reply.Epoch, reply.Address = holder.Epoch, holder.Address
 	reply.Holds = h != nil && h.epoch == holder.Epoch
-	a.members[heartbeat.Address] = member{heardAt: now, share: heartbeat.Share, startedAt: now - time.Duration(heartbeat.UptimeMs)*time.Millisecond}
+	a.members[heartbeat.Address] = member{heardAt: now, share: heartbeat.Share, startedAt: now - time.Duration(heartbeat.UptimeMs)*time.Millisecond, stopping: heartbeat.Stopping}
 	a.members[a.address] = member{heardAt: now, share: a.settings.CPUShare}
 	for _, address := range a.membersFor(heartbeat) {
 		reply.Members = append(reply.Members, mesh.Member{Address: address, Share: a.members[address].share})
--- a/agent/holder_test.go
+++ b/agent/holder_test.go
@@ -246,6 +246,20 @@
 	is.Equal(h.successor(), "10.0.0.5:1")
 }
 
+// TestStoppingProcessIsNoSuccessor guards against a planned hand-over to a process that is stopping too and cannot claim, for which the others wait in vain.
+func TestStoppingProcessIsNoSuccessor(t *testing.T) {
+	is := is.New(t)
+	a, h := newTestAgent(t)
+	a.stopping.Store(true)
+	heartbeat := mesh.Heartbeat{Address: "10.0.0.1:1", Share: 0.8}
+	a.HandleHeartbeat(heartbeat)
+	a.HandleHeartbeat(mesh.Heartbeat{Address: "10.0.0.2:1", Share: 0.4})
+	is.Equal(h.successor(), "10.0.0.1:1")
+	heartbeat.Stopping = true
+	a.HandleHeartbeat(heartbeat)
+	is.Equal(h.successor(), "10.0.0.2:1")
+}
+
 // TestMembersThatLeftAreForgotten guards against a holder that may never renew leases without the store, because hosts that have left for good count for the majority.
 func TestMembersThatLeftAreForgotten(t *testing.T) {
 	is := is.New(t)
--- a/mesh/message.go
+++ b/mesh/message.go
@@ -70,6 +70,8 @@
 	Share float64
 	// StoreLost means that the sender does not reach the store and receives configurations only from other processes.
 	StoreLost bool
+	// Stopping means that the sender is stopping and cannot become the holder.
+	Stopping bool
 	// UptimeMs is how long the sender has been running, in milliseconds.
 	UptimeMs int64
 	// AsksMembers requests the list of members in the reply.
