Looks at a silent holder are again made between heartbeats, at the cost of 0.3 s

A process that looked as soon as its turn came gave a late reply 100 ms, then none.

A process in its first second that knows the holder from the store only is no witness; later, one whose replies are slow is one again.

--- a/agent/follow.go
+++ b/agent/follow.go
@@ -25,7 +25,6 @@
 
 // follow sends heartbeats to the holder while that is another process, and tries to take over when the holder is gone or cannot write to the store.
 func (a *Agent) follow(ctx context.Context) {
-	looked := false
 	for ctx.Err() == nil {
 		if suspended := a.clock.AddSuspension(); suspended > elect.HolderTimeout {
 			a.log.Warn("host was suspended", zap.Duration("slept", suspended))
@@ -36,14 +35,10 @@
 		}
 		a.mu.Lock()
 		holder, known := a.detector.Holder()
-		due := !a.detector.Alive(a.clock.Now()) && a.detector.ShouldClaim(a.rank, a.clock.Now())
 		a.mu.Unlock()
-		// A process whose turn to claim has come does not wait for one more heartbeat first, but sends the next one if it finds no reason to claim.
-		skip := due && !looked
-		if known && holder.Address != a.address && !skip {
+		if known && holder.Address != a.address {
 			a.sendHeartbeat(holder)
 		}
-		looked = skip
 		a.mu.Lock()
 		alive := a.detector.Alive(a.clock.Now()) && !a.detector.HolderCannotWrite()
 		a.mu.Unlock()
@@ -51,7 +46,7 @@
 			a.findHolderOrClaim(ctx)
 		}
 		a.mu.Lock()
-		pause := a.detector.NextCheckIn(a.rank, a.clock.Now())
+		pause := a.detector.NextHeartbeatIn(a.clock.Now())
 		a.mu.Unlock()
 		a.waitForCheck(ctx, pause)
 	}
@@ -73,11 +68,10 @@
 	sent := a.clock.Now()
 	a.mu.Lock()
 	askMembers := a.membersEpoch != holder.Epoch || sent-a.membersUpdatedAt >= membersInterval
-	timeout := a.detector.HeartbeatTimeout(sent)
 	a.mu.Unlock()
 	reply, err := a.peers.SendHeartbeat(holder.Address, mesh.Heartbeat{
 		Node: a.settings.Node, Address: a.address, Epoch: holder.Epoch, Version: a.configVersion(), Share: a.settings.CPUShare, UptimeMs: sent.Milliseconds(), Stopping: a.stopping.Load(), AsksMembers: askMembers, StoreLost: a.storeAnsweredAt.Load() < 0,
-	}, timeout)
+	}, elect.CallTimeout)
 	now := a.clock.Now()
 	if err != nil {
 		a.log.Debug("holder did not answer a heartbeat", zap.Error(err), zap.Duration("after", now-sent))
--- a/elect/elect.go
+++ b/elect/elect.go
@@ -160,23 +160,6 @@
 	return HeartbeatInterval
 }
 
-// NextCheckIn returns how long a process of the given rank waits before it looks at the holder again: until the next heartbeat is due or, if that is sooner, until it may claim.
-func (d *FailureDetector) NextCheckIn(rank int, now time.Duration) time.Duration {
-	wait := d.NextHeartbeatIn(now)
-	if due := d.claimDueAt(rank, now) - now; d.known && due > 0 {
-		wait = min(wait, due)
-	}
-	return wait
-}
-
-// HeartbeatTimeout returns how long to wait for the reply to a heartbeat sent now: no longer than until the holder counts as silent, because the process then has to look for a successor, but long enough for a reply.
-func (d *FailureDetector) HeartbeatTimeout(now time.Duration) time.Duration {
-	return min(CallTimeout, max(d.heardAt+d.holderTimeout(now)-now, minHeartbeatTimeout))
-}
-
-// minHeartbeatTimeout is the least time that a reply to a heartbeat gets.
-const minHeartbeatTimeout = 100 * time.Millisecond
-
 // Silence returns how long ago the current holder was last heard.
 func (d *FailureDetector) Silence(now time.Duration) time.Duration { return now - d.heardAt }
 
@@ -203,14 +186,17 @@
 // IsVacant reports whether no holder is known or the last known one is no longer the holder.
 func (d *FailureDetector) IsVacant() bool { return !d.known || d.vacant }
 
-// HeardAgo returns how long ago the holder of the epoch was heard, and false if this process follows another holder or has never heard it, or if the holder seems to be gone.
+// HeardAgo returns how long ago the holder of the epoch was heard, and false if this process follows another holder, has just started and not heard it yet, or if the holder seems to be gone.
 func (d *FailureDetector) HeardAgo(epoch int64, now time.Duration) (time.Duration, bool) {
-	if !d.known || !d.answered || d.holder.Epoch != epoch || d.vacant || d.refusedAt > 0 {
+	if !d.known || (!d.answered && now-d.createdAt < startupTime) || d.holder.Epoch != epoch || d.vacant || d.refusedAt > 0 {
 		return 0, false
 	}
 	return now - d.heardAt, true
 }
 
+// startupTime is how long a process knows the holder from the store only. Later, one whose replies are slow counts as heard when this process learns of it.
+const startupTime = time.Second
+
 // Alive reports whether a holder is known that was heard within its timeout and since then has neither resigned nor refused a connection.
 func (d *FailureDetector) Alive(now time.Duration) bool {
 	return d.known && !d.vacant && d.refusedAt == 0 && now-d.heardAt < d.holderTimeout(now)
@@ -218,26 +204,19 @@
 
 // ShouldClaim reports whether a process of the given rank should claim the next epoch. Each rank waits ClaimStagger longer than the one before, so that claims do not collide.
 func (d *FailureDetector) ShouldClaim(rank int, now time.Duration) bool {
-	return now >= d.claimDueAt(rank, now)
-}
-
-// claimDueAt returns from when a process of the given rank may claim the next epoch, as things stand.
-func (d *FailureDetector) claimDueAt(rank int, now time.Duration) time.Duration {
 	stagger := time.Duration(rank) * ClaimStagger
-	recovered := time.Duration(0)
-	if d.recoveredAt > 0 {
-		recovered = d.recoveredAt + StoreRecoveryGrace
-	}
 	switch {
 	case !d.known:
-		return d.createdAt + stagger
+		return now-d.createdAt >= stagger
 	case d.vacant:
-		return d.claimableAt + stagger
+		return now-d.claimableAt >= stagger
 	case d.cannotWrite && d.storeReadAt > 0:
-		return d.storeReadAt + CannotWriteTimeout + stagger
+		return now-d.storeReadAt >= CannotWriteTimeout+stagger
+	case d.recoveredAt > 0 && now-d.recoveredAt < StoreRecoveryGrace:
+		return false
 	case d.refusedAt > 0:
-		return max(d.refusedAt+RefusedTimeout+stagger, recovered)
+		return now-d.refusedAt >= RefusedTimeout+stagger
 	default:
-		return max(d.heardAt+d.holderTimeout(now)+stagger, recovered)
+		return now-d.heardAt >= d.holderTimeout(now)+stagger
 	}
 }
