Items that end without a run of their own are cleared of crashes

Found by reading. A member that ends with its gang, and an item whose earlier run turns out to have succeeded, went on counting as suspects, so that their pool kept a target for trials until the job ended. They are cleared when they end.

--- a/sched/ends.go
+++ b/sched/ends.go
@@ -17,9 +17,9 @@
 	}
 	switch outcome {
 	case work.RunDone:
-		t.clearOfAll(it)
 		tgt.consecutiveFailures, tgt.lastFailedJob, tgt.quarantineLength = 0, "", 0
 		if it.step.spec.Serving {
+			t.clearOfAll(it)
 			t.requeue(it, now)
 			return
 		}
@@ -63,6 +63,7 @@
 	it.state = itemEnded
 	s.unfinished--
 	s.occurrence.unfinished--
+	t.clearOfAll(it)
 	t.markDirty(j)
 	if s.spec.Gang {
 		t.completeGang(s, now)
@@ -90,6 +91,7 @@
 			tgt.orphanUsage = tgt.orphanUsage.Add(s.spec.Reservation())
 		}
 		other.state = itemEnded
+		t.clearOfAll(other)
 		s.unfinished--
 		s.occurrence.unfinished--
 	}
