Each item at its last crash is given up, and suspects without room ask for hosts

Found by reading. Of several items that reach maxCrashes in one crash only one was given up, and the others were started again, beyond the bound that keeps BUDGET. A suspect that found no target with room for its trial did not count as an item without room, so that a pool whose free room is in pieces did not grow for it.

--- a/sched/crash.go
+++ b/sched/crash.go
@@ -81,19 +81,22 @@
 	t.markDirty(it.step.job)
 }
 
-// recordCrash counts a target's crash against the items that ran there, and marks the suspects. It returns the item that caused the crash beyond doubt, or nil. The caller requeues the items afterwards.
-func (t *Table) recordCrash(tgt *target) *item {
+// recordCrash counts a target's crash against the items that ran there, and marks the suspects. It returns the items that caused the crash beyond doubt or, if there are none, those that must not be started again. The caller requeues the items afterwards.
+func (t *Table) recordCrash(tgt *target) []*item {
 	if len(tgt.runs) == 0 {
 		return nil
 	}
 	suspects := tgt.crashSuspects()
 	c := &crash{}
-	var guilty *item
+	var guilty, usedUp []*item
 	for _, it := range tgt.runs {
 		suspected := slices.Contains(suspects, it)
 		counted := t.countCrash(it, tgt)
-		if it.crashes >= maxCrashes || (suspected && it.onTrial && it.isGuilty()) {
-			guilty = it
+		switch {
+		case suspected && it.onTrial && it.isGuilty():
+			guilty = append(guilty, it)
+		case it.crashes >= maxCrashes:
+			usedUp = append(usedUp, it)
 		}
 		if suspected || it.crashes >= isolationCrashes {
 			it.seenBeforeCrash = 0
@@ -112,6 +115,9 @@
 		first = fmt.Sprintf(" first=%s crashes=%d", suspects[0].id, suspects[0].crashes)
 	}
 	t.logEvent("crashed", string(tgt.ID), tgt.Pool, fmt.Sprintf("runs=%d suspects=%d trial=%t%s", len(tgt.runs), len(suspects), tgt.trial != nil, first))
+	if len(guilty) == 0 {
+		return usedUp
+	}
 	return guilty
 }
 
@@ -154,11 +160,17 @@
 	return suspects
 }
 
-// failGuilty fails the job of an item that has crashed several targets, and clears the others that ran there.
-func (t *Table) failGuilty(it *item, now time.Duration) {
-	if it == nil || !it.step.job.active() {
-		return
+// failGuilty fails the jobs of items that have crashed several targets, and clears the others that ran there.
+func (t *Table) failGuilty(items []*item, now time.Duration) {
+	for _, it := range items {
+		if it.step.job.active() {
+			t.failJobOf(it, now)
+		}
 	}
+}
+
+// failJobOf fails the job of an item that crashes its targets, and clears the items of other jobs of the crashes that it is involved in.
+func (t *Table) failJobOf(it *item, now time.Duration) {
 	t.logEvent("failed", it.id.String(), "crashes its targets", fmt.Sprintf("crashes=%d", it.crashes))
 	for _, c := range it.unexplained {
 		for _, other := range c.involved {
--- a/sched/hostlist.go
+++ b/sched/hostlist.go
@@ -137,7 +137,7 @@
 		return
 	}
 	t.logEvent("gone", string(id), cause, tgt.Pool)
-	var guilty *item
+	var guilty []*item
 	if crashed && !tgt.Draining {
 		guilty = t.recordCrash(tgt)
 	}
--- a/sched/incarnation.go
+++ b/sched/incarnation.go
@@ -44,7 +44,7 @@
 // endIncarnation revokes the runs of a target's former incarnation, so that none of their starts is executed by the next one, and requeues their items. A start that was sent and is not answered yet may still be executed by the next incarnation, so it is stopped there, and its item stays assigned to the target until that is answered.
 func (t *Table) endIncarnation(tgt *target, now time.Duration, cause string) {
 	t.logEvent("lifeOver", string(tgt.ID), cause, tgt.Address)
-	var guilty *item
+	var guilty []*item
 	if !tgt.Draining && !tgt.hostOrderIssued {
 		guilty = t.recordCrash(tgt)
 	}
--- a/sched/plan.go
+++ b/sched/plan.go
@@ -211,6 +211,10 @@
 				t.requestAdvice(s, now)
 			}
 			if it.suspect {
+				// Other items need no trial and may find room.
+				if s.job.trialTarget == nil {
+					s.markNoRoom(now)
+				}
 				continue
 			}
 			s.markNoRoom(now)
