--- a/sched/renew.go
+++ b/sched/renew.go
@@ -132,6 +132,7 @@
 		t.logEvent("answers", string(id), "renewal", tgt.Address)
 	}
 	tgt.recordAnswer(reply.ClockMs, now)
+	tgt.answeredAt = now
 	tgt.readingMs, tgt.readingSentAt = reply.ClockMs, sent
 	tgt.incarnation = max(tgt.incarnation, reply.StartedMs)
 	if !tgt.acquired {
