A job is not given up for a crash after a cut, nor for a start that the next incarnation got

A crash that shows more than 2 s after the target's last sign of life needs a third one now, as one that nobody saw run does.

--- a/sched/answer.go
+++ b/sched/answer.go
@@ -40,18 +40,19 @@
 		t.deposed = true
 		return
 	}
+	present := false
 	if reply.Status != work.OrderWrongTarget {
 		if tgt.acquired && reply.ClockMs > 0 && reply.ClockMs < tgt.clockMs-maxAnswerReordering.Milliseconds() {
 			t.endEarlierIncarnation(tgt, it, now)
 		}
-		tgt.recordAnswer(reply.ClockMs, now)
+		present = tgt.recordAnswer(reply.ClockMs, now)
 	}
 	if it.state != itemOrdered || it.target != tgt || it.run != o.Start.Run {
 		return
 	}
 	switch reply.Status {
 	case work.OrderDone, work.OrderSuperseded:
-		it.confirmed, it.confirmedAt = true, now
+		it.confirmed, it.confirmedAt, it.doubtful = true, now, !present
 	case work.OrderWrongTarget:
 		t.handleReassignedAddress(tgt, now)
 	case work.OrderUnhealthy:
--- a/sched/crash.go
+++ b/sched/crash.go
@@ -15,9 +15,11 @@
 	crashWindow = 250 * time.Millisecond
 	// maxCrashAge is how long a run has to be seen active to be cleared of all crashes.
 	maxCrashAge = 2 * time.Second
-	// guiltyCrashes is the number of crashes under an item after which a trial that ends with a crash fails its job, if the target was seen to run the item.
+	// guiltyCrashes is the number of crashes under an item after which a trial that ends with a crash fails its job, if the target was seen to run the item and the crash showed within promptCrash.
 	guiltyCrashes = 2
-	// isolationCrashes is the number of crashes after which an item is tried on a target of its own, and after which its job fails also if a target was never seen to run it.
+	// promptCrash is how long after a target's last sign of life its crash may show to be attributed to a start before. One that shows later may have come after a cut.
+	promptCrash = 2 * time.Second
+	// isolationCrashes is the number of crashes after which an item is tried on a target of its own, and after which its job fails also if a target was never seen to run it or the crash showed late.
 	isolationCrashes = 3
 	// maxCrashes is the number of crashes after which an item is not started again, with or without a trial.
 	maxCrashes = 4
@@ -83,7 +85,7 @@
 }
 
 // recordCrash counts a target's crash against the items that ran there, and marks the suspects. It returns the items that caused the crash beyond doubt or, if there are none, those that must not be started again. The caller requeues the items afterwards.
-func (t *Table) recordCrash(tgt *target) []*item {
+func (t *Table) recordCrash(tgt *target, now time.Duration) []*item {
 	if len(tgt.runs) == 0 {
 		return nil
 	}
@@ -94,7 +96,7 @@
 		suspected := slices.Contains(suspects, it)
 		counted := t.countCrash(it, tgt)
 		switch {
-		case suspected && it.onTrial && it.isGuilty():
+		case suspected && it.onTrial && it.isGuilty(tgt, now):
 			guilty = append(guilty, it)
 		case it.crashes >= maxCrashes:
 			usedUp = append(usedUp, it)
@@ -133,12 +135,13 @@
 }
 
 // isGuilty reports whether an item whose trial ended with a crash has caused it. Crashes that another item explains count here too, since both may crash their targets.
-func (it *item) isGuilty() bool {
-	return it.crashes >= isolationCrashes || (it.crashes+it.explained >= guiltyCrashes && it.seen())
+func (it *item) isGuilty(tgt *target, now time.Duration) bool {
+	prompt := it.seen() && now-max(it.confirmedAt, tgt.answeredAt) <= promptCrash
+	return it.crashes >= isolationCrashes || (it.crashes+it.explained >= guiltyCrashes && prompt)
 }
 
-// seen reports whether the target has confirmed the run to this holder.
-func (it *item) seen() bool { return it.confirmed && it.confirmedAt > 0 }
+// seen reports whether the target has confirmed the run to this holder, in the incarnation to which it was ordered.
+func (it *item) seen() bool { return it.confirmed && it.confirmedAt > 0 && !it.doubtful }
 
 // crashSuspects returns the runs that may have crashed the target. A trial begins when all other runs have proven themselves, so that during a trial only the items on trial are suspects.
 func (t *target) crashSuspects() []*item {
--- a/sched/hostlist.go
+++ b/sched/hostlist.go
@@ -139,7 +139,7 @@
 	t.logEvent("gone", string(id), cause, tgt.Pool)
 	var guilty []*item
 	if crashed && !tgt.Draining {
-		guilty = t.recordCrash(tgt)
+		guilty = t.recordCrash(tgt, now)
 	}
 	defer t.failGuilty(guilty, now)
 	for len(tgt.runs) > 0 {
--- a/sched/incarnation.go
+++ b/sched/incarnation.go
@@ -46,7 +46,7 @@
 	t.logEvent("lifeOver", string(tgt.ID), cause, tgt.Address)
 	var guilty []*item
 	if !tgt.Draining && !tgt.hostOrderIssued {
-		guilty = t.recordCrash(tgt)
+		guilty = t.recordCrash(tgt, now)
 	}
 	defer t.failGuilty(guilty, now)
 	tgt.answeredAt = 0
--- a/sched/job.go
+++ b/sched/job.go
@@ -31,7 +31,9 @@
 	// confirmed means that the target has answered the start or reported the run in a renewal reply.
 	confirmed   bool
 	confirmedAt time.Duration
-	orderedAt   time.Duration
+	// doubtful means that the answer to the start may have come from a later incarnation of the target than the one that it was sent to.
+	doubtful  bool
+	orderedAt time.Duration
 	// stopping means that a stop was ordered, at stopOrderedAt; stopConfirmedAt is when it was answered.
 	stopping        bool
 	stopOrderedAt   time.Duration
--- a/sched/plan.go
+++ b/sched/plan.go
@@ -349,7 +349,7 @@
 	it.run++
 	it.orderedAt = now
 	it.confirmed, it.stopping, it.atFullSpeed = false, false, false
-	it.sent, it.incarnation = false, tgt.incarnation
+	it.sent, it.doubtful, it.incarnation = false, false, tgt.incarnation
 	it.onTrial = it.suspect && tgt.trial == it.step.job
 	tgt.charge(it)
 	// The true lease is set when the order is sent. Until then the run counts as active for one lease from now; leaseDuration/40 allows for a target's clock that is up to 2% slow.
--- a/sched/renew.go
+++ b/sched/renew.go
@@ -225,7 +225,7 @@
 // updateRun applies a run's state in a renewal reply.
 func (t *Table) updateRun(it *item, r *work.ActiveRun, now time.Duration) {
 	if !it.seen() {
-		it.confirmed, it.confirmedAt = true, now
+		it.confirmed, it.confirmedAt, it.doubtful = true, now, false
 	}
 	if r.Checkpoint != "" {
 		it.checkpoint = r.Checkpoint
@@ -247,7 +247,8 @@
 	it.state = itemOrdered
 	it.step.waiting--
 	it.target = tgt
-	it.confirmed, it.confirmedAt, it.sent, it.incarnation = true, now, true, tgt.incarnation
+	it.confirmed, it.confirmedAt, it.doubtful = true, now, false
+	it.sent, it.incarnation = true, tgt.incarnation
 	it.stopping, it.stopConfirmedAt = false, 0
 	tgt.charge(it)
 	// One lease from now; leaseDuration/40 allows for a target's clock that is up to 2% slow.
--- a/sched/target.go
+++ b/sched/target.go
@@ -142,14 +142,16 @@
 // maxClockLag is how far a target's clock may be behind what its last answer and the slowest rate predict, since answers may overtake each other. That of a new incarnation is further behind, because it was down in between.
 const maxClockLag = 50 * time.Millisecond
 
-// recordAnswer notes that the target answered, and the clock in its answer. An answer that may come from a new incarnation says nothing about the runs of the present one.
-func (t *target) recordAnswer(clockMs int64, now time.Duration) {
+// recordAnswer notes that the target answered, and the clock in its answer. It returns false if the answer may come from a new incarnation, and so says nothing about the runs of the present one.
+func (t *target) recordAnswer(clockMs int64, now time.Duration) bool {
 	expected := t.clockMs + time.Duration(float64(now-t.clockAt)*minClockRate).Milliseconds()
-	if t.clockAt > 0 && clockMs >= expected-maxClockLag.Milliseconds() {
+	present := t.clockAt > 0 && clockMs >= expected-maxClockLag.Milliseconds()
+	if present {
 		t.answeredAt = now
 	}
 	t.unreachable = false
 	if clockMs > 0 {
 		t.clockMs, t.clockAt = clockMs, now
 	}
+	return present
 }
