A target that has missed a call is told to forget no ends until a renewal shows who it is

Cause, by reading the calls: the renewal that follows carried the number of the last recorded end of the incarnation before; the new one counts from 1 and forgets ends up to that number unreported. After a call without an answer, renewals acknowledge nothing until a reply has shown the incarnation; the ends are listed once more.

--- a/sched/renew.go
+++ b/sched/renew.go
@@ -32,6 +32,10 @@
 		return Renewal{}
 	}
 	r := Renewal{AcknowledgedEnd: tgt.lastRecordedEnd, Unreachable: tgt.unreachable, Needed: !tgt.acquired || len(tgt.runs) > 0 || tgt.lastRecordedEnd > tgt.lastAcknowledgedEnd || tgt.orphanUsage != work.Resources{}}
+	if tgt.missedCall {
+		// A new incarnation counts its ends anew and would forget ends that it has not reported.
+		r.AcknowledgedEnd = 0
+	}
 	if len(tgt.runs) > 0 {
 		r.LeaseExpiryMs = tgt.extendLease(now, leaseDuration)
 		r.ClockUnknown = r.LeaseExpiryMs == 0
@@ -100,7 +104,11 @@
 // CallUnanswered marks the target unreachable, because a call to it got no answer.
 func (t *Table) CallUnanswered(id work.TargetID, now time.Duration) {
 	tgt, ok := t.targets[id]
-	if !ok || tgt.unreachable {
+	if !ok {
+		return
+	}
+	tgt.missedCall = true
+	if tgt.unreachable {
 		return
 	}
 	tgt.unreachable, tgt.unreachableSince = true, now
@@ -132,7 +140,7 @@
 		t.logEvent("answers", string(id), "renewal", tgt.Address)
 	}
 	tgt.recordAnswer(reply.ClockMs, now)
-	tgt.answeredAt = now
+	tgt.answeredAt, tgt.missedCall = now, false
 	tgt.readingMs, tgt.readingSentAt = reply.ClockMs, sent
 	tgt.incarnation = max(tgt.incarnation, reply.StartedMs)
 	if !tgt.acquired {
--- a/sched/target.go
+++ b/sched/target.go
@@ -43,6 +43,8 @@
 	// unreachable means that the last call to the target got no answer, and unreachableSince is when the first call without an answer since the last one with one ended.
 	unreachable      bool
 	unreachableSince time.Duration
+	// missedCall means that a call has got no answer since the last renewal reply, so that the target may be a new incarnation.
+	missedCall bool
 	// answeredAt is when the target last answered in its present incarnation.
 	answeredAt time.Duration
 	// quarantinedUntil is when the target may get new starts again after it was found unhealthy.
