--- a/agent/holder_test.go
+++ b/agent/holder_test.go
@@ -246,7 +246,7 @@
 	is.Equal(h.successor(), "10.0.0.5:1")
 }
 
-// TestStoppingProcessIsNoSuccessor guards against a planned hand-over to a process that is stopping too and cannot claim, for which the others wait in vain.
+// TestStoppingProcessIsNoSuccessor guards against a planned hand-over to a process that is stopping too and cannot claim, so that the others delay their claims by its head start.
 func TestStoppingProcessIsNoSuccessor(t *testing.T) {
 	is := is.New(t)
 	a, h := newTestAgent(t)
--- a/sched/crash.go
+++ b/sched/crash.go
@@ -60,7 +60,7 @@
 	t.markDirty(it.step.job)
 }
 
-// recordCrash counts a target's crash against the items that ran there, and marks the suspects. It returns the items that caused the crash beyond doubt or, if there are none, those that must not be started again. The caller requeues the items afterwards.
+// recordCrash counts a target's crash against the items that ran there, and marks the suspects. It returns the items that caused the crash for certain or, if there are none, those that must not be started again. The caller requeues the items afterwards.
 func (t *Table) recordCrash(tgt *target, now time.Duration) []*item {
 	if len(tgt.runs) == 0 {
 		return nil
@@ -119,7 +119,7 @@
 // seen reports whether the target has confirmed the run to this holder, in the incarnation to which it was ordered.
 func (it *item) seen() bool { return it.confirmed && it.confirmedAt > 0 && !it.doubtful }
 
-// crashSuspects returns the runs that may have crashed the target. A trial begins when all other runs have proven themselves, so that during a trial only the items on trial are suspects.
+// crashSuspects returns the runs that may have crashed the target. A trial begins when all other runs have been seen active for crashWindow, so that during a trial only the items on trial are suspects.
 func (t *target) crashSuspects() []*item {
 	var suspects []*item
 	if t.trial != nil {
--- a/sched/model_test.go
+++ b/sched/model_test.go
@@ -22,12 +22,20 @@
 // TestModel runs random histories on a virtual clock: delayed orders and lost answers, crashes and partitions of targets, and takeovers during which the former holder may still be active.
 // It guards against two active runs of an item, a start after an acknowledged end, a target beyond its capacity, a step that starts before those it depends on have ended, and jobs that are never completed.
 func TestModel(t *testing.T) {
-	for seed := range int64(modelSeeds) {
+	runModels(t, modelSeeds, func(*model) {}, func(*model) {})
+}
+
+// runModels plays histories of the seeds from 0 on and fails the test with the first violation. It calls prepare before each history and inspect after it.
+func runModels(t *testing.T, seeds int, prepare, inspect func(*model)) {
+	t.Helper()
+	for seed := range int64(seeds) {
 		m := newModel(seed)
+		prepare(m)
 		m.run()
 		if len(m.violations) > 0 {
 			t.Fatalf("seed %d: %v", seed, m.violations[0])
 		}
+		inspect(m)
 	}
 }
 
--- a/sched/modelcapacity_test.go
+++ b/sched/modelcapacity_test.go
@@ -31,14 +31,7 @@
 
 // TestShrunkCapacityIsNotExceeded guards against starts on a target that has shrunk since they were planned, because the store took long to record them or the target did not answer.
 func TestShrunkCapacityIsNotExceeded(t *testing.T) {
-	for seed := range int64(capacityModelSeeds) {
-		m := newModel(seed)
-		m.capacity.enabled = true
-		m.run()
-		if len(m.violations) > 0 {
-			t.Fatalf("seed %d: %v", seed, m.violations[0])
-		}
-	}
+	runModels(t, capacityModelSeeds, func(m *model) { m.capacity.enabled = true }, func(*model) {})
 }
 
 // begin lets each target change its capacity and report it at its beats.
--- a/sched/modelcrash_test.go
+++ b/sched/modelcrash_test.go
@@ -35,17 +35,11 @@
 // TestDeadlyItemIsGivenUpAndItsNeighboursAreNot guards against an item that crashes one target after the other, because a run that is lost with its target counts for nothing, and against giving up the work beside it.
 func TestDeadlyItemIsGivenUpAndItsNeighboursAreNot(t *testing.T) {
 	crashes := 0
-	for seed := range int64(deadlyModelSeeds) {
-		m := newModel(seed)
-		m.crashes.enabled = true
-		m.run()
-		if len(m.violations) > 0 {
-			t.Fatalf("seed %d: %v", seed, m.violations[0])
-		}
+	runModels(t, deadlyModelSeeds, func(m *model) { m.crashes.enabled = true }, func(m *model) {
 		for _, n := range m.crashes.crashed {
 			crashes += n
 		}
-	}
+	})
 	if crashes == 0 {
 		t.Fatal("no target crashed")
 	}
@@ -107,13 +101,16 @@
 	}
 }
 
-// mayEnd reports whether a job may end in the state. A job fails if it has a deadly item; it may also fail if one of its items ran on two targets that crashed for other causes, but never for its neighbours' crashes.
+// mayEnd reports whether a job may end in the state. A job fails if it has a deadly item; in a history with deadly items, another job may fail if one of its items ran on two targets that crashed for other causes, but never for its neighbours' crashes.
 func (c *modelCrashes) mayEnd(id work.JobID, state work.State) bool {
 	for item := range c.deadly {
 		if item.Job == id {
 			return state == work.Failed
 		}
 	}
+	if !c.enabled {
+		return state == work.Completed
+	}
 	for item, n := range c.struck {
 		if item.Job == id && n >= 2 && state == work.Failed {
 			return true
--- a/sched/renew.go
+++ b/sched/renew.go
@@ -13,7 +13,7 @@
 	LeaseExpiryMs int64
 	// AcknowledgedEnd is the sequence number of the last run end that the store holds; the target may forget ends up to it.
 	AcknowledgedEnd int64
-	// Trial means that an item is on trial on the target, which is asked without a poll, since each reply shows that it lives.
+	// Trial means that an item is on trial on the target, which is asked without a poll, since each reply shows that it is running.
 	Trial bool
 	// ShortPoll means that the target should answer soon and not wait long for a run to end: a serving item is about to reach full speed, and until the reply shows that, no other item of its step may be evicted.
 	ShortPoll bool
@@ -83,7 +83,7 @@
 	return ""
 }
 
-// withdrawStart requeues an item whose start has not been sent, and stops one that the target may have got without an answer. The other members of a gang would wait for it in vain, so they are withdrawn too.
+// withdrawStart requeues an item whose start has not been sent, and stops one that the target may have got without an answer. The other members of a gang make no progress without it, so they are withdrawn too.
 func (t *Table) withdrawStart(it *item, cause string, now time.Duration) {
 	t.logEvent("withdrawn", it.id.String(), string(it.target.ID), cause)
 	withdrawn := []*item{it}
--- a/sched/trial.go
+++ b/sched/trial.go
@@ -118,7 +118,7 @@
 	}
 }
 
-// readyForTrial reports whether the item can be started: there is room, and all runs but those on trial have proven themselves. An item with isolationCrashes also waits for the other runs to end, as long as it is patient.
+// readyForTrial reports whether the item can be started: there is room, and all runs but those on trial have been seen active for crashWindow. An item with isolationCrashes also waits for the other runs to end, as long as it is patient.
 func (t *target) readyForTrial(it *item, patient bool) bool {
 	if !it.step.spec.Reservation().Fits(t.free()) {
 		return false
--- a/work/record.go
+++ b/work/record.go
@@ -41,7 +41,7 @@
 	OnTrial bool
 }
 
-// earlierItemProgress is an ItemProgress as it was stored before crashes were counted.
+// earlierItemProgress is an ItemProgress as it was stored before crashes were counted. It repeats the fields, because the stored form stays as it is when ItemProgress changes.
 type earlierItemProgress struct {
 	_          struct{} `cbor:",toarray"`
 	Occurrence int
