--- a/sched/model_test.go
+++ b/sched/model_test.go
@@ -178,3 +178,12 @@
 		m.takeOver()
 	}
 }
+
+// TestJobIsNotGivenUpForCutsAndUnansweredStarts guards against a job that is given up for crashes of other causes, because targets that were cut off in its trials started anew seconds later.
+func TestJobIsNotGivenUpForCutsAndUnansweredStarts(t *testing.T) {
+	m := newModel(925)
+	m.run()
+	if len(m.violations) > 0 {
+		t.Fatal(m.violations[0])
+	}
+}
