--- a/review/standin/history.go
+++ b/review/standin/history.go
@@ -13,9 +13,9 @@
 	"lavenderwing.example/lavenderwing/work"
 )
 
-// The traffic of manyJobs. jobsPerSecond is the sum of the jobs a second that the sheet of Atelier Piese lists.
+// The traffic of manyJobs. jobsPerSecond is the sum of the jobs a second that the sheet of serra-lw lists.
 const (
-	jobsPerSecond   = 19.7
+	jobsPerSecond   = 12.1
 	recoveryTime    = 12 * time.Second
 	trafficTime     = 10 * time.Second
 	finishTime      = 14 * time.Second
@@ -28,7 +28,7 @@
 	if h, err := strconv.ParseFloat(os.Getenv("HOURS"), 64); err == nil {
 		return h
 	}
-	return 3
+	return 5
 }
 
 // manyJobs kills all processes at one moment after the deployment has served its usual traffic for some hours.
--- a/review/standin/route.go
+++ b/review/standin/route.go
@@ -15,13 +15,13 @@
 	"time"
 )
 
-// The load and the times of removedRoute.
+// The load and the times of removedRoute. failingShare is in thousandths, as error_share of the site's classes whose jobs end.
 const (
-	routeJobs     = 60
+	routeJobs     = 120
 	routeItems    = 12
 	routeRunTime  = 2500 * time.Millisecond
 	routeAbsent   = 6 * time.Second
-	failingShare  = 3
+	failingShare  = 2
 	maxAttempts   = 4
 	routeFinish   = 40 * time.Second
 	runningState  = `{"state":"running"}`
@@ -33,7 +33,7 @@
 func failsFirst(task string) bool {
 	h := fnv.New32a()
 	_, _ = h.Write([]byte("fails" + task))
-	return h.Sum32()%100 < failingShare
+	return h.Sum32()%1000 < failingShare
 }
 
 // removedRoute restarts the process that schedules while a config is in force that lacks the route of accepted jobs. A later config has the route again.
@@ -78,17 +78,17 @@
 	return nil
 }
 
-// submitTogether hands in a number of jobs of two steps within a second, and returns the identifiers of the accepted ones.
+// submitTogether hands in a number of jobs of two steps within three seconds, and returns the identifiers of the accepted ones.
 func (c *cluster) submitTogether(jobs, items int) []string {
 	var consumers sync.WaitGroup
 	var mu sync.Mutex
 	var ids []string
-	body := []byte(fmt.Sprintf(`{"spec":"proof","phases":[{"count":%d,"cpu":100,"mem_mb":50,"estimate_ms":2500},{"count":%d,"cpu":100,"mem_mb":50,"estimate_ms":2500,"after":[0]}]}`, items, items))
+	body := []byte(fmt.Sprintf(`{"spec":"proof","phases":[{"count":%d,"cpu":80,"mem_mb":50,"estimate_ms":2500},{"count":%d,"cpu":80,"mem_mb":50,"estimate_ms":2500,"after":[0]}]}`, items, items))
 	for n := range jobs {
 		consumers.Add(1)
 		go func() {
 			defer consumers.Done()
-			time.Sleep(time.Duration(n) * 15 * time.Millisecond)
+			time.Sleep(time.Duration(n) * 25 * time.Millisecond)
 			id := fmt.Sprintf("%016x", 0x5c0e7a2200000000+n)
 			if c.submit(n, id, body, 6) {
 				mu.Lock()
--- a/review/standin/wave.go
+++ b/review/standin/wave.go
@@ -20,8 +20,8 @@
 // The wave and the times of unseenWave.
 const (
 	waveNumber     = 1
-	waveCap        = 2
-	waveMachines   = 6
+	waveCap        = 1
+	waveMachines   = 4
 	waveDeadlineS  = 24
 	upkeepTime     = 2 * time.Second
 	silence        = 3500 * time.Millisecond
