A wave that has not been read is not complete

Cause: a successor restores a wave's progress from the progress topic before it has read the wave itself. The restored state has no hosts, and planWave took that for a wave whose hosts have all begun; the completion is recorded and final. Ruled out by the logs: a host list that lacks the hosts, and a lost progress record.

Change: a wave is planned only once its announcement has been read.

--- a/sched/host.go
+++ b/sched/host.go
@@ -72,6 +72,8 @@
 // waveState is a maintenance wave and its progress.
 type waveState struct {
 	work.Wave
+	// announced means that the operator's wave has been read. A holder may know the wave's progress earlier, but not its hosts.
+	announced   bool
 	announcedAt time.Duration
 	// begun holds the names of the hosts whose maintenance the cloud has accepted.
 	begun map[string]bool
@@ -98,7 +100,7 @@
 		t.waves[w.Number] = wave
 		t.waveList = append(t.waveList, wave)
 	}
-	wave.Wave, wave.announcedAt = w, announcedAt
+	wave.Wave, wave.announced, wave.announcedAt = w, true, announcedAt
 }
 
 // orderName describes a host order in events.
--- a/sched/wave.go
+++ b/sched/wave.go
@@ -30,7 +30,7 @@
 
 // planWave begins to drain the next hosts of a wave, no more at once than the wave allows. Hosts with serving items go first (see drainServingHosts), the others in the order of the least disruption.
 func (t *Table) planWave(w *waveState, now time.Duration) {
-	if w.completed {
+	if w.completed || !w.announced {
 		return
 	}
 	left := t.hostsAwaitingMaintenance(w)
