A new holder reads what operators wrote before it acts

Cause: a process that was cut off from the store knows the operators' topic as of its last read. Its claim and its recovery read the other topics to their ends, but that one only when the tailing loop came round again, 0.2 s after a failed read or at the end of its timeout. Until then it scheduled by the old configuration and without new waves.

Change: recovery also reads the operators' topic from the process's offset to its end, which costs one read of a few bytes in the usual case.

Evidence: TestNewHolderReadsWhatOperatorsWroteBeforeIt failed without the read (version 1 instead of 2).

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -71,6 +71,8 @@
 
 	config   atomic.Pointer[configState]
 	stopping atomic.Bool
+	// operatorOffset is the next offset to read from the operators' topic, or -1 if its newest records have to be read.
+	operatorOffset atomic.Int64
 	// storeLatency is the average latency of the calls of elections to the store.
 	storeLatency latencyAverage
 	// storeAnsweredAt is when the store last answered, 0 before its first answer and -1 while calls to it fail.
@@ -153,6 +155,7 @@
 	if a.meters == nil {
 		a.meters = newMeters(tally.NoopScope, nil)
 	}
+	a.operatorOffset.Store(-1)
 	a.link = newLink(s.LinkMbps)
 	a.address = net.JoinHostPort(s.IP, strconv.Itoa(s.InternalPorts[0]))
 	hash := fnv.New32a()
--- a/agent/config.go
+++ b/agent/config.go
@@ -25,35 +25,42 @@
 
 // tailOperators reads the operators' topic and applies its records.
 func (a *Agent) tailOperators(ctx context.Context) {
-	next := int64(-1)
 	for ctx.Err() == nil {
-		var batch platform.UpdateBatch
-		var err error
-		if next < 0 {
-			batch, err = a.store.LatestOperatorUpdates(storeTimeout + a.link.pageTime())
-		} else {
-			batch, err = a.store.ReadOperatorUpdates(next, operatorPoll, operatorPoll+pollSlack+a.link.pageTime())
-		}
-		a.meters.storeReads.Inc(1)
-		var expired *platform.ExpiredError
-		switch {
-		case errors.As(err, &expired):
-			next = -1
-			continue
-		case err != nil:
-			a.recordStoreFailure("read of the operators' topic", err)
+		if _, err := a.readOperators(operatorPoll, operatorPoll+pollSlack); err != nil {
 			sleep(ctx, retryPause)
-			continue
-		}
-		a.recordStoreAnswer()
-		next = batch.NextOffset
-		for _, u := range batch.Updates {
-			// A failed update is logged, and the state before it stays in force.
-			_ = a.guard("a record of operators", func() { a.applyOperatorUpdate(u) })
 		}
 	}
 }
 
+// readOperators applies what operators have written since the last read, and reports whether that is all. If there is nothing, the read waits up to poll for the first record. Reads may overlap, because applying a record again changes nothing.
+func (a *Agent) readOperators(poll, timeout time.Duration) (bool, error) {
+	next := a.operatorOffset.Load()
+	var batch platform.UpdateBatch
+	var err error
+	if next < 0 {
+		batch, err = a.store.LatestOperatorUpdates(storeTimeout + a.link.pageTime())
+	} else {
+		batch, err = a.store.ReadOperatorUpdates(next, poll, timeout+a.link.pageTime())
+	}
+	a.meters.storeReads.Inc(1)
+	var expired *platform.ExpiredError
+	switch {
+	case errors.As(err, &expired):
+		a.operatorOffset.Store(-1)
+		return false, nil
+	case err != nil:
+		a.recordStoreFailure("read of the operators' topic", err)
+		return false, err
+	}
+	a.recordStoreAnswer()
+	for _, u := range batch.Updates {
+		// A failed update is logged, and the state before it stays in force.
+		_ = a.guard("a record of operators", func() { a.applyOperatorUpdate(u) })
+	}
+	a.operatorOffset.CompareAndSwap(next, batch.NextOffset)
+	return batch.NextOffset >= batch.EndOffset, nil
+}
+
 // applyOperatorUpdate applies a configuration or a maintenance wave, or logs a record that is neither.
 func (a *Agent) applyOperatorUpdate(u platform.Update) {
 	switch u := u.(type) {
--- a/agent/recover.go
+++ b/agent/recover.go
@@ -24,6 +24,7 @@
 	reads := []func() error{
 		func() (err error) { progress, err = h.fenceAndRead(h.progress); return err },
 		func() (err error) { accepted, err = h.fenceAndRead(h.intake.writer); return err },
+		h.readOperators,
 	}
 	for n := range directPartitions {
 		reads = append(reads, func() (err error) {
@@ -52,6 +53,19 @@
 	return nil
 }
 
+// readOperators reads what operators wrote before this takeover. The process may have been cut off from the store until then, and a holder must know the limits and the waves that are in force before it acts.
+func (h *Holder) readOperators() error {
+	for {
+		whole, err := h.agent.readOperators(0, recoverReadTimeout)
+		if err == nil && whole {
+			return nil
+		}
+		if err != nil && !sleep(h.ctx, retryPause) {
+			return context.Cause(h.ctx)
+		}
+	}
+}
+
 // fenceAndRead fences the earlier holders of a partition, so that they cannot write anything more, and returns the newest records. While the store is slow, the fence and the read of all records each take long, so they are made at the same time; what was written meanwhile is read after the fence.
 func (h *Holder) fenceAndRead(w *fencedWriter) ([]platform.Record, error) {
 	var records []platform.Record
--- a/agent/recover_test.go
+++ b/agent/recover_test.go
@@ -11,6 +11,8 @@
 
 	"lavenderwing.example/lavenderwing/fake"
 	"lavenderwing.example/lavenderwing/platform"
+	"lavenderwing.example/lavenderwing/platform/stage"
+	"lavenderwing.example/lavenderwing/sched"
 	"lavenderwing.example/lavenderwing/work"
 )
 
@@ -84,3 +86,24 @@
 	is.Equal(len(merged), 1)
 	is.Equal(string(merged[0].Value), "newest")
 }
+
+// TestNewHolderReadsWhatOperatorsWroteBeforeIt guards against a holder that was cut off from the store and schedules by a configuration that is no longer in force, or without a wave that operators have announced.
+func TestNewHolderReadsWhatOperatorsWroteBeforeIt(t *testing.T) {
+	is := is.New(t)
+	p, err := stage.New(fake.LoopbackAddresses(2), "pool", 0, work.Resources{})
+	is.NoErr(err)
+	t.Cleanup(p.Close)
+	a, err := New(work.Settings{Node: "n", IP: "127.0.0.1", InternalPorts: [2]int{1, 2}, Store: work.StoreLimits{Address: p.Store.Address}})
+	is.NoErr(err)
+	is.NoErr(p.Configure(&work.Config{Version: 1}))
+	_, err = a.readOperators(0, storeTimeout)
+	is.NoErr(err)
+	is.Equal(a.configVersion(), int64(1))
+	is.NoErr(p.Configure(&work.Config{Version: 2}))
+	p.Store.Put("op", "wave/7", []byte(`{"wave":7,"machines":["m"],"deadline_s":20,"cap":1}`))
+	h := newHolder(a, 1)
+	a.active = h
+	is.NoErr(h.recover())
+	is.Equal(a.configVersion(), int64(2))
+	is.Equal(h.table.WaveUpdates(), []sched.WaveUpdate{{Wave: 7}})
+}
