A job stored directly during a recovery keeps its progress

Cause: a recovery reads the direct partitions while it fences the progress topic. The predecessor, which is still alive then, may read a job from a direct partition after that read, start it and record its progress before the fence. The new holder then found progress without a job and dropped it; its tail read the job a moment later and accepted it as a new one. Ends of its items that targets reported in between were acknowledged unread.

Change: where progress belongs to no job that was read, recovery reads that job's direct partition on to its end, after the fence.

Evidence: TestJobStoredDirectlyDuringRecoveryKeepsItsProgress failed before (the job was not known).

--- a/agent/recover.go
+++ b/agent/recover.go
@@ -35,6 +35,9 @@
 	if err := inParallel(reads...); err != nil {
 		return err
 	}
+	if err := h.readLateDirect(progress, accepted, &direct, &next); err != nil {
+		return err
+	}
 	h.agent.mu.Lock()
 	waves, since := maps.Clone(h.agent.waves), maps.Clone(h.agent.waveSeenAt)
 	h.agent.mu.Unlock()
@@ -53,6 +56,30 @@
 	return nil
 }
 
+// readLateDirect reads the direct partitions again in which a job with progress was not found. The predecessor may have read, started and recorded the job after this holder's first read and before the fence.
+func (h *Holder) readLateDirect(progress, accepted []platform.Record, direct *[directPartitions][]platform.Record, next *[directPartitions]int64) error {
+	read := make(map[string]bool, len(accepted))
+	for _, records := range append(direct[:], accepted) {
+		for _, r := range records {
+			read[r.Key] = true
+		}
+	}
+	late := map[int]bool{}
+	for _, r := range progress {
+		if sched.IsJobKey(r.Key) && !read[r.Key] {
+			late[directIndex(work.JobID(r.Key))] = true
+		}
+	}
+	var reads []func() error
+	for n := range late {
+		reads = append(reads, func() (err error) {
+			direct[n], next[n], err = h.readMore(jobsTopic, directFirstPartition+n, direct[n], next[n])
+			return err
+		})
+	}
+	return inParallel(reads...)
+}
+
 // readOperators reads what operators wrote before this takeover. The process may have been cut off from the store until then, and a holder must know the limits and the waves that are in force before it acts.
 func (h *Holder) readOperators() error {
 	for {
@@ -77,17 +104,22 @@
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	later, err := h.readFrom(w.topic, w.part, end)
+	records, _, err = h.readMore(w.topic, w.part, records, end)
+	return records, err
+}
+
+// readMore adds what a partition holds from an offset on to its newest records that were read up to there. It returns the result and the partition's end.
+func (h *Holder) readMore(topic string, part int, records []platform.Record, from int64) ([]platform.Record, int64, error) {
+	later, end, err := h.readFrom(topic, part, from)
 	var expired *platform.ExpiredError
 	if errors.As(err, &expired) {
-		records, _, err = h.readNewest(w.topic, w.part)
-		return records, err
+		return h.readNewest(topic, part)
 	}
-	return mergeRecords(records, later), err
+	return mergeRecords(records, later), end, err
 }
 
-// readFrom returns the records of a partition from an offset to its end. It retries until the epoch ends, except if the records have expired.
-func (h *Holder) readFrom(topic string, part int, from int64) ([]platform.Record, error) {
+// readFrom returns the records of a partition from an offset to its end, and the end. It retries until the epoch ends, except if the records have expired.
+func (h *Holder) readFrom(topic string, part int, from int64) ([]platform.Record, int64, error) {
 	var records []platform.Record
 	for {
 		result, err := h.agent.store.Read(topic, part, from, 0, recoverReadTimeout+h.agent.link.pageTime())
@@ -95,19 +127,19 @@
 		var expired *platform.ExpiredError
 		switch {
 		case errors.As(err, &expired):
-			return nil, err
+			return nil, from, err
 		case err != nil:
 			h.agent.recordStoreFailure(topic, err)
 			if !sleep(h.ctx, retryPause) {
-				return nil, context.Cause(h.ctx)
+				return nil, from, context.Cause(h.ctx)
 			}
 			continue
 		}
 		records = append(records, result.Records...)
-		if result.NextOffset >= result.EndOffset || result.NextOffset == from {
-			return records, nil
-		}
 		from = result.NextOffset
+		if result.Whole() {
+			return records, from, nil
+		}
 	}
 }
 
--- a/agent/recover_test.go
+++ b/agent/recover_test.go
@@ -4,6 +4,7 @@
 	"encoding/base64"
 	"encoding/binary"
 	"encoding/json"
+	"strconv"
 	"testing"
 
 	"github.com/matryer/is"
@@ -53,13 +54,11 @@
 			))
 		case "/log-read":
 			is.Equal(string(ctx.QueryArgs().Peek("from")), "3") // the end of the first read
-			body := binary.BigEndian.AppendUint64(nil, 6)
-			body = binary.BigEndian.AppendUint64(body, 0)
-			for _, r := range [][2]string{{"changed", "new"}, {"deleted", ""}, {"added", "new"}} {
-				body = binary.BigEndian.AppendUint32(body, uint32(1+len(r[0])+len(r[1])))
-				body = append(append(append(body, byte(len(r[0]))), r[0]...), r[1]...)
-			}
-			ctx.SetBody(body)
+			ctx.SetBody(readPage(6,
+				platform.Record{Key: "changed", Value: []byte("new")},
+				platform.Record{Key: "deleted"},
+				platform.Record{Key: "added", Value: []byte("new")},
+			))
 		default:
 			ctx.SetBodyString(`{"offset":6,"end_offset":6}`)
 		}
@@ -107,3 +106,49 @@
 	is.Equal(a.configVersion(), int64(2))
 	is.Equal(h.table.WaveUpdates(), []sched.WaveUpdate{{Wave: 7}})
 }
+
+// TestJobStoredDirectlyDuringRecoveryKeepsItsProgress guards against items that run twice: the predecessor reads a job from a direct partition after the new holder has, and records its progress before the fence.
+func TestJobStoredDirectlyDuringRecoveryKeepsItsProgress(t *testing.T) {
+	is := is.New(t)
+	const id = "00000000000000a1"
+	job, err := work.Encode(&work.Job{ID: id, Queue: "q", Pool: "pool", Steps: []work.Step{{Count: 1}}})
+	is.NoErr(err)
+	progress, err := work.Encode(&work.JobProgress{State: work.Completed, Items: []work.ItemProgress{{Run: 1, Done: true}}})
+	is.NoErr(err)
+	address := fake.LoopbackAddresses(1)[0]
+	directPart := strconv.Itoa(directFirstPartition + directIndex(id))
+	startServer(t, is, address, func(ctx *fasthttp.RequestCtx) {
+		topic, part := string(ctx.QueryArgs().Peek("topic")), string(ctx.QueryArgs().Peek("part"))
+		switch {
+		case string(ctx.Path()) == "/log-newest" && topic == "keyed.progress":
+			ctx.SetBodyString(newestPage(platform.Record{Key: id, Value: progress}))
+		case string(ctx.Path()) == "/log-newest":
+			ctx.SetBodyString(newestPage())
+		case string(ctx.Path()) == "/log-read" && topic == "keyed.jobs" && part == directPart:
+			ctx.SetBody(readPage(1, platform.Record{Key: id, Value: job}))
+		case string(ctx.Path()) == "/log-read":
+			ctx.SetBody(readPage(0))
+		default:
+			ctx.SetBodyString(`{"offset":0,"end_offset":1}`)
+		}
+	})
+	a, err := New(work.Settings{Node: "n", IP: "127.0.0.1", InternalPorts: [2]int{1, 2}, Store: work.StoreLimits{Address: address}})
+	is.NoErr(err)
+	h := newHolder(a, 2)
+	is.NoErr(h.recover())
+	_, state, known := h.table.Lookup(id)
+	is.True(known)
+	is.Equal(state, work.Completed)
+	is.Equal(h.directOffsets[directIndex(id)], int64(1))
+}
+
+// readPage is the store's answer with records of a partition that ends at the given offset.
+func readPage(end uint64, records ...platform.Record) []byte {
+	body := binary.BigEndian.AppendUint64(nil, end)
+	body = binary.BigEndian.AppendUint64(body, 0)
+	for _, r := range records {
+		body = binary.BigEndian.AppendUint32(body, uint32(1+len(r.Key)+len(r.Value)))
+		body = append(append(append(body, byte(len(r.Key))), r.Key...), r.Value...)
+	}
+	return body
+}
