A job beyond the first page of direct records is not unknown

Cause: before the holder reports a job as unknown, it reads what was stored without it. It read one page, of at most 1 MB, and took that for all.

Change: it reads on until it has reached the partition's end, and allows for the time that a page takes on a slow link.

--- a/agent/tail.go
+++ b/agent/tail.go
@@ -32,12 +32,22 @@
 	}
 }
 
-// readDirect applies the records written to one direct partition since the last read. If there is none and poll is above 0, the read waits up to poll for the first record.
+// readDirect applies the records written to one direct partition since the last read, page by page up to its end. If there is none and poll is above 0, the read waits up to poll for the first record.
 func (h *Holder) readDirect(n int, poll time.Duration) error {
+	for {
+		whole, err := h.readDirectPage(n, poll)
+		if err != nil || whole {
+			return err
+		}
+	}
+}
+
+// readDirectPage applies one page of records and reports whether it was the last one.
+func (h *Holder) readDirectPage(n int, poll time.Duration) (bool, error) {
 	h.mu.Lock()
 	from := h.directOffsets[n]
 	h.mu.Unlock()
-	timeout := storeTimeout
+	timeout := storeTimeout + h.agent.link.pageTime()
 	if poll > 0 {
 		timeout = poll + pollSlack
 	}
@@ -49,7 +59,7 @@
 	}
 	if err != nil {
 		h.agent.recordStoreFailure("read of jobs stored without the holder", err)
-		return err
+		return false, err
 	}
 	h.agent.recordStoreAnswer()
 	h.mu.Lock()
@@ -61,7 +71,7 @@
 	if len(result.Records) > 0 {
 		h.wakeLoop()
 	}
-	return nil
+	return result.Whole(), nil
 }
 
 // newestDirect reads the newest records of one direct partition, for use when records that were not read yet have expired.
