A run whose end does not fit the list of ends is not lost

Cause: a target lists at most 500 ends in a reply. Runs beyond them are in neither list, and applyRuns took a confirmed run that is in neither list for lost and placed it again. Ruled out by the logs: a lapsed lease, and a restart of the target.

Change: a reply with a full list of ends is marked (MoreEnds), and while it is, no run is lost for not being listed. The listed ends are recorded and acknowledged, and the next reply lists the next ones.

--- a/sched/model_test.go
+++ b/sched/model_test.go
@@ -25,6 +25,11 @@
 	runModels(t, modelSeeds, func(*model) {}, func(*model) {})
 }
 
+// TestItemsWhoseEndsAreNotListedYetRunOnce guards against items that run twice because a reply lists a limited number of ends, and runs that are in neither list count as lost.
+func TestItemsWhoseEndsAreNotListedYetRunOnce(t *testing.T) {
+	runModels(t, modelSeeds, func(m *model) { m.maxListedEnds = 1 }, func(*model) {})
+}
+
 // runModels plays histories of the seeds from 0 on and fails the test with the first violation. It calls prepare before each history and inspect after it.
 func runModels(t *testing.T, seeds int, prepare, inspect func(*model)) {
 	t.Helper()
@@ -82,6 +87,8 @@
 	started    map[work.ItemID]time.Duration
 	violations []string
 	config     *work.Config
+	// maxListedEnds is how many ends a target lists in one reply, 0 for all.
+	maxListedEnds int
 	// crashes holds the items that crash their targets, if the history has any.
 	crashes *modelCrashes
 	// capacity changes the capacities of targets, if that is enabled.
--- a/sched/modeltarget_test.go
+++ b/sched/modeltarget_test.go
@@ -210,6 +210,9 @@
 	}
 	t.ends = kept
 	l.Ended = append(l.Ended, t.ends...)
+	if m.maxListedEnds > 0 && len(l.Ended) >= m.maxListedEnds {
+		l.Ended, l.MoreEnds = l.Ended[:m.maxListedEnds], true
+	}
 	for _, j := range m.jobs {
 		for s := range j.Steps {
 			for n := range j.Steps[s].Count {
--- a/sched/renew.go
+++ b/sched/renew.go
@@ -165,7 +165,7 @@
 	tgt.lastAcknowledgedEnd = max(tgt.lastAcknowledgedEnd, min(acknowledged, tgt.lastRecordedEnd))
 	t.stopRevokedRuns(tgt, now)
 	t.applyEnds(tgt, reply.Ended, now)
-	t.applyRuns(tgt, reply.Running, sent, now)
+	t.applyRuns(tgt, &reply, sent, now)
 	t.reviewTrial(tgt)
 	t.adjustPace(tgt, now)
 }
@@ -186,14 +186,14 @@
 	}
 }
 
-// applyRuns compares the runs in a renewal reply with the expected ones. It adopts or stops unexpected runs, and requeues the items of expected runs that the reply should list and does not. Unexpected runs count against the target's capacity until they have ended.
-func (t *Table) applyRuns(tgt *target, running []work.ActiveRun, sent, now time.Duration) {
+// applyRuns compares the runs in a renewal reply with the expected ones. It adopts or stops unexpected runs, and requeues the items of expected runs that the reply should list and does not, unless it does not list all that have ended. Unexpected runs count against the target's capacity until they have ended.
+func (t *Table) applyRuns(tgt *target, reply *work.RenewalReply, sent, now time.Duration) {
 	tgt.orphanUsage = work.Resources{}
 	former := tgt.unexpected
 	tgt.unexpected = nil
-	present := make([]*item, 0, len(running))
-	for i := range running {
-		r := &running[i]
+	present := make([]*item, 0, len(reply.Running))
+	for i := range reply.Running {
+		r := &reply.Running[i]
 		it := t.findItem(r.Item)
 		if it != nil && it.state == itemWaiting && it.run == r.Run && it.step.job.active() {
 			t.adopt(it, tgt, now)
@@ -209,7 +209,7 @@
 	for n := 0; n < len(tgt.runs); {
 		it := tgt.runs[n]
 		t.repeatStop(it, now)
-		if t.mustBeListed(it, sent) && !contains(present, it) {
+		if !reply.MoreEnds && t.mustBeListed(it, sent) && !contains(present, it) {
 			t.logEvent("lost", it.id.String(), string(tgt.ID), "not in the renewal reply")
 			t.loseRun(it, now)
 			continue
--- a/sched/script_test.go
+++ b/sched/script_test.go
@@ -161,7 +161,7 @@
 		sr.is.Equal(sr.countEvents(args[0], args[1]), parseNumber(args[2]))
 	case "removeTarget": // NAME: the entry has been removed from the store
 		sr.table.RemoveTarget(work.TargetID(args[0]))
-	case "renewalAnswered": // TARGET [running=LIST] [ended=LIST] [incarnation=N] [answer=other|fenced|unhealthy] [sent=DURATION] [acknowledged=N]
+	case "renewalAnswered": // TARGET [running=LIST] [ended=LIST] [moreEnds=yes] [incarnation=N] [answer=other|fenced|unhealthy] [sent=DURATION] [acknowledged=N]
 		sr.answerRenewal(args[0], o)
 	case "callUnanswered": // TARGET
 		sr.table.CallUnanswered(work.TargetID(args[0]), sr.now)
@@ -336,7 +336,7 @@
 
 // answerRenewal applies a target's reply to a renewal. It lists active runs as running=ITEM/RUN/PERCENT/CHECKPOINT/METRIC and ended ones as ended=SEQUENCE/ITEM/RUN/OUTCOME/CHECKPOINT, both separated by commas.
 func (sr *scriptRunner) answerRenewal(id string, o map[string]string) {
-	l := work.RenewalReply{ClockMs: sr.now.Milliseconds(), StartedMs: int64(parseNumber(o["incarnation"]))}
+	l := work.RenewalReply{ClockMs: sr.now.Milliseconds(), StartedMs: int64(parseNumber(o["incarnation"])), MoreEnds: o["moreEnds"] != ""}
 	for _, entry := range splitList(o["running"]) {
 		f := strings.Split(entry, "/")
 		r := work.ActiveRun{Item: sr.parseItem(f[0]), Run: parseNumber(f[1]), SpeedPercent: 100}
--- a/work/order.go
+++ b/work/order.go
@@ -76,6 +76,9 @@
 	ClockMs int64
 	// StartedMs is when this incarnation of the target started, in milliseconds since the Unix epoch.
 	StartedMs int64
-	Running   []ActiveRun
-	Ended     []EndedRun
+	// Running lists all active runs, and Ended the first of those that have ended and are not acknowledged.
+	Running []ActiveRun
+	Ended   []EndedRun
+	// MoreEnds means that runs may have ended that Ended does not list, because a reply lists a limited number of them.
+	MoreEnds bool
 }
