--- a/agent/cluster_test.go
+++ b/agent/cluster_test.go
@@ -77,6 +77,8 @@
 const (
 	clusterTargets = 4
 	clusterNodes   = 3
+	// clusterPageItems is small, so that the agents read most of what they need in several pages.
+	clusterPageItems = 2
 )
 
 func newCluster(t *testing.T) *cluster {
@@ -86,6 +88,7 @@
 	p, err := stage.New(addresses, "pool", clusterTargets, work.Resources{CPU: 2000, MemMB: 1000})
 	c.is.NoErr(err)
 	c.platform = p
+	p.Store.SetPageItems(clusterPageItems)
 	t.Cleanup(p.Close)
 	c.is.NoErr(p.Configure(c.config(1, "key")))
 	for n := range clusterNodes {
