Jobs of a removed queue keep its attempts under a new holder

Cause: a job named its queue, and its attempts, priority, objective and advisor came from the configuration in force. A holder that read a job without finding its queue allowed one attempt, gave it the highest priority and asked for no advice. Ruled out by the logs: crashes counted as attempts, and lost progress records.

Records of the version before are decoded as before; a process of the version before cannot read new ones, so an upgrade must be completed.

--- a/agent/advice.go
+++ b/agent/advice.go
@@ -43,17 +43,23 @@
 	}
 }
 
-// adviceTimeout returns the timeout of a request, from the highest latency that any queue's configuration states for it.
+// adviceTimeout returns the timeout of a request, from the highest latency that the job's queue or any configured one states for it.
 func (h *Holder) adviceTimeout(r sched.AdviceRequest) time.Duration {
-	wait := adviceTimeoutSlack
+	latency := adviceLatency(r.Advisor, len(r.Targets))
 	if state := h.agent.config.Load(); state != nil {
 		for i := range state.config.Queues {
-			if a := state.config.Queues[i].Advisor; a != nil {
-				wait = max(wait, adviceTimeoutSlack+time.Duration((a.BaseLatencyMs+a.PerTargetLatencyMs*float64(len(r.Targets)))*float64(time.Millisecond)))
-			}
+			latency = max(latency, adviceLatency(state.config.Queues[i].Advisor, len(r.Targets)))
 		}
 	}
-	return wait
+	return adviceTimeoutSlack + latency
+}
+
+// adviceLatency is the latency of an answer for a number of targets, 0 without an advisor.
+func adviceLatency(a *work.AdvisorConfig, targets int) time.Duration {
+	if a == nil {
+		return 0
+	}
+	return time.Duration((a.BaseLatencyMs + a.PerTargetLatencyMs*float64(targets)) * float64(time.Millisecond))
 }
 
 // applyAdvice passes the tickets of an answered request to the table, or the fact that there was no answer.
--- a/agent/request.go
+++ b/agent/request.go
@@ -77,7 +77,7 @@
 		return r, fasthttp.StatusBadRequest, err.Error()
 	}
 	job.ID, job.Queue, job.Pool, job.Team = r.request.ID, r.queue.Name, r.queue.Pool, r.request.Team
-	job.AcceptedMs = time.Now().UnixMilli()
+	job.AcceptedMs, job.Terms = time.Now().UnixMilli(), r.queue.Terms()
 	value, err := work.Encode(job)
 	if err != nil {
 		a.log.Error("job cannot be encoded", zap.Error(err))
--- a/sched/advice.go
+++ b/sched/advice.go
@@ -21,6 +21,8 @@
 	Occurrence int
 	Step       int
 	Targets    []work.TargetID
+	// Advisor is the expected latency of the answer.
+	Advisor *work.AdvisorConfig
 }
 
 // ticket is a target's permission to run a step.
@@ -60,7 +62,7 @@
 	if s.advice.asking || now < s.advice.notBefore {
 		return
 	}
-	request := AdviceRequest{Job: s.job.record.ID, Occurrence: s.occurrence.index, Step: s.index}
+	request := AdviceRequest{Job: s.job.record.ID, Occurrence: s.occurrence.index, Step: s.index, Advisor: s.job.queue.Advisor}
 	charge := s.spec.Reservation()
 	for _, tgt := range t.sortedTargets {
 		if len(request.Targets) == maxAdviceTargets {
--- a/sched/script_test.go
+++ b/sched/script_test.go
@@ -127,6 +127,9 @@
 	case "pool": // NAME [standby=yes]
 		sr.config.Pools = append(sr.config.Pools, work.Pool{Name: args[0], Standby: o["standby"] != ""})
 		sr.configure()
+	case "dropQueues": // a configuration names no queues
+		sr.config.Queues = nil
+		sr.configure()
 	case "dropPools": // a configuration names no pools and queues
 		sr.config.Pools, sr.config.Queues = nil, nil
 		sr.configure()
--- a/sched/scriptwords_test.go
+++ b/sched/scriptwords_test.go
@@ -52,6 +52,9 @@
 // acceptJob accepts a job. Its steps are written as COUNTxCPU[/MEM[/ESTIMATE]], with CPU in millicores, MEM in MB (1 by default) and ESTIMATE in milliseconds, followed by marks after colons (see parseStep).
 func (sr *scriptRunner) acceptJob(args []string, o map[string]string) {
 	j := &work.Job{ID: padJobID(args[0]), Queue: args[1], Team: o["team"], Spec: "spec", AcceptedMs: 1_700_000_000_000 + sr.now.Milliseconds()}
+	if q, ok := sr.config.Queue(j.Queue); ok {
+		j.Pool, j.Terms = q.Pool, q.Terms()
+	}
 	for _, a := range args[2:] {
 		if !strings.Contains(a, "x") || strings.Contains(a, "=") && !strings.Contains(strings.SplitN(a, "=", 2)[0], "x") {
 			continue
--- a/sched/table.go
+++ b/sched/table.go
@@ -188,12 +188,17 @@
 	return now - min(max(age, 0), arrivalWindow)
 }
 
-// addJob adds a job that was accepted at the given time; if its queue is not configured, it gets a single attempt. A stored job that is not valid fails at once and gets no items, because its numbers cannot be trusted.
-func (t *Table) addJob(record *work.Job, acceptedAt time.Duration) *job {
-	q, ok := t.config.Queue(record.Queue)
-	if !ok {
-		q = &work.Queue{Name: record.Queue, Pool: record.Pool, MaxAttempts: 1, SlackFactor: 1}
+// queueOf returns the queue of a job: as it is configured, or as it was when the job was accepted if operators have removed it.
+func (t *Table) queueOf(record *work.Job) *work.Queue {
+	if q, ok := t.config.Queue(record.Queue); ok {
+		return q
 	}
+	return record.AcceptedQueue()
+}
+
+// addJob adds a job that was accepted at the given time. A stored job that is not valid fails at once and gets no items, because its numbers cannot be trusted.
+func (t *Table) addJob(record *work.Job, acceptedAt time.Duration) *job {
+	q := t.queueOf(record)
 	if err := record.Validate(); err != nil {
 		j := &job{record: record, queue: q, acceptedAt: acceptedAt, invalid: true}
 		t.jobs[record.ID] = j
--- a/work/config.go
+++ b/work/config.go
@@ -6,6 +6,7 @@
 
 // AdvisorConfig holds the expected latency of the advisor, the service that decides which targets may run a queue's steps, and the validity of the tickets that it returns.
 type AdvisorConfig struct {
+	_             struct{} `cbor:",toarray"`
 	BaseLatencyMs float64
 	// PerTargetLatencyMs is the latency that each candidate target adds.
 	PerTargetLatencyMs float64
@@ -34,6 +35,11 @@
 	Advisor *AdvisorConfig
 }
 
+// Terms returns what a job that the queue accepts keeps of it.
+func (q *Queue) Terms() *QueueTerms {
+	return &QueueTerms{Priority: q.Priority, MaxAttempts: q.MaxAttempts, SlackFactor: q.SlackFactor, FixedSlackMs: q.FixedSlackMs, Advisor: q.Advisor}
+}
+
 // Pool is a group of hosts that run the jobs of the same queues.
 type Pool struct {
 	Name string
--- a/work/job.go
+++ b/work/job.go
@@ -1,6 +1,10 @@
 package work
 
-import "unicode/utf8"
+import (
+	"unicode/utf8"
+
+	"github.com/gravitational/trace"
+)
 
 // JobID is a job's identifier, 16 hexadecimal digits chosen by the caller.
 type JobID string
@@ -83,6 +87,62 @@
 	Occurrences int
 	// AcceptedMs is the acceptance time by the clock of the accepting process, in milliseconds since the Unix epoch.
 	AcceptedMs int64
+	// Terms holds for as long as the configuration lacks the queue; it is nil in records of earlier versions.
+	Terms *QueueTerms
+}
+
+// QueueTerms is what an accepted job needs of its queue when operators have removed the queue; the fields are those of Queue.
+type QueueTerms struct {
+	_            struct{} `cbor:",toarray"`
+	Priority     int
+	MaxAttempts  int
+	SlackFactor  float64
+	FixedSlackMs int64
+	Advisor      *AdvisorConfig
+}
+
+// AcceptedQueue returns the job's queue as it was when the job was accepted, without its route. The queue of a record of an earlier version allows one attempt.
+func (j *Job) AcceptedQueue() *Queue {
+	q := &Queue{Name: j.Queue, Pool: j.Pool, MaxAttempts: 1, SlackFactor: 1}
+	if t := j.Terms; t != nil {
+		q.Priority, q.MaxAttempts, q.SlackFactor, q.FixedSlackMs, q.Advisor = t.Priority, t.MaxAttempts, t.SlackFactor, t.FixedSlackMs, t.Advisor
+	}
+	return q
+}
+
+// earlierJob is a Job as it was stored before it had Terms. It repeats the fields, because the stored form stays as it is when Job changes.
+type earlierJob struct {
+	_           struct{} `cbor:",toarray"`
+	ID          JobID
+	Queue       string
+	Pool        string
+	Team        string
+	Spec        string
+	Steps       []Step
+	FirstRunMs  int64
+	IntervalMs  int64
+	Occurrences int
+	AcceptedMs  int64
+}
+
+// UnmarshalCBOR decodes a record of this version or of the one before, which a process may find during an upgrade.
+func (j *Job) UnmarshalCBOR(b []byte) error {
+	type plain Job
+	var present plain
+	err := decoder.Unmarshal(b, &present)
+	if err == nil {
+		*j = Job(present)
+		return nil
+	}
+	var e earlierJob
+	if decoder.Unmarshal(b, &e) != nil {
+		return trace.Wrap(err)
+	}
+	*j = Job{
+		ID: e.ID, Queue: e.Queue, Pool: e.Pool, Team: e.Team, Spec: e.Spec, Steps: e.Steps,
+		FirstRunMs: e.FirstRunMs, IntervalMs: e.IntervalMs, Occurrences: e.Occurrences, AcceptedMs: e.AcceptedMs,
+	}
+	return nil
 }
 
 // InvalidJobError reports why a job can never run.
--- a/work/job_test.go
+++ b/work/job_test.go
@@ -58,3 +58,27 @@
 		is.True(job.Validate() != nil)
 	}
 }
+
+// TestTermsOfTheQueueSurviveStorage guards against jobs that fail at their first failed run, because the holder that reads them does not know their queue any more.
+func TestTermsOfTheQueueSurviveStorage(t *testing.T) {
+	is := is.New(t)
+	q := Queue{Name: "q", Pool: "p", Host: "h", PathPrefix: "/q/", Priority: 2, MaxAttempts: 4, SlackFactor: 1.5, FixedSlackMs: 600, Advisor: &AdvisorConfig{BaseLatencyMs: 5, PerTargetLatencyMs: 0.5, TicketValidityMs: 900}}
+	value, err := Encode(&Job{ID: "1", Queue: q.Name, Pool: q.Pool, Terms: q.Terms()})
+	is.NoErr(err)
+	var job Job
+	is.NoErr(Decode(value, &job))
+	kept := q
+	kept.Host, kept.PathPrefix = "", ""
+	is.Equal(*job.AcceptedQueue(), kept)
+}
+
+// TestJobOfTheVersionBeforeIsDecoded guards against a holder of a new version that drops all accepted jobs during an upgrade.
+func TestJobOfTheVersionBeforeIsDecoded(t *testing.T) {
+	is := is.New(t)
+	value, err := Encode(&earlierJob{ID: "1", Queue: "q", Pool: "p", Team: "t", Spec: "s", Steps: []Step{{Count: 2}}, FirstRunMs: 3, IntervalMs: 4, Occurrences: 5, AcceptedMs: 6})
+	is.NoErr(err)
+	var job Job
+	is.NoErr(Decode(value, &job))
+	is.Equal(job, Job{ID: "1", Queue: "q", Pool: "p", Team: "t", Spec: "s", Steps: []Step{{Count: 2}}, FirstRunMs: 3, IntervalMs: 4, Occurrences: 5, AcceptedMs: 6})
+	is.Equal(job.AcceptedQueue().MaxAttempts, 1)
+}
