A new holder uses targets of pools that only jobs name

Cause: entries of targets are held back while the configuration does not name their pool. The holder in office keeps the targets that it has, but one that takes over held them back, so that the pool's jobs had no targets and the leases of their runs were not renewed.

Change: the pools of active jobs count as named.

Evidence: the last section of removed.txtar failed before (no target called).

--- a/sched/table.go
+++ b/sched/table.go
@@ -28,7 +28,7 @@
 type Table struct {
 	bounds work.Bounds
 	config *work.Config
-	// poolNames holds the pools that the configuration names, and poolsRenamed means that they may have changed since the last plan.
+	// poolNames holds the pools that the configuration or an active job names, and poolsRenamed means that they may have changed since the last plan.
 	poolNames    map[string]bool
 	poolsRenamed bool
 	// heldEntries holds the entries of targets whose pools the configuration does not name.
@@ -132,7 +132,7 @@
 // New returns an empty table.
 func New(bounds work.Bounds, opts ...Option) *Table {
 	t := &Table{
-		bounds: bounds, config: &work.Config{}, jobs: map[work.JobID]*job{},
+		bounds: bounds, config: &work.Config{}, poolNames: map[string]bool{}, jobs: map[work.JobID]*job{},
 		targets: map[work.TargetID]*target{}, targetByAddress: map[string]*target{}, usage: map[string]work.Resources{}, runStatsByQueue: map[string]*runStats{},
 		hosts: map[string]*host{}, hostRecords: map[string]work.HostOrderRecord{}, rejectedMoves: map[string]bool{},
 		heldEntries: map[work.TargetID]heldEntry{}, waves: map[int64]*waveState{}, pools: map[string]*poolState{}, trialQueues: map[string]trialQueue{},
@@ -165,10 +165,18 @@
 		if q, ok := c.Queue(j.record.Queue); ok {
 			j.queue = q
 		}
+		t.namePool(j.queue.Pool)
 	}
 	return true
 }
 
+// namePool allows targets of a pool that a job needs, also while the configuration lacks it.
+func (t *Table) namePool(pool string) {
+	if !t.poolNames[pool] {
+		t.poolNames[pool], t.poolsRenamed = true, true
+	}
+}
+
 // Accept adds a job that the store holds and reports whether it is new.
 func (t *Table) Accept(record *work.Job, now time.Duration) bool {
 	if _, known := t.jobs[record.ID]; known {
@@ -207,6 +215,7 @@
 		t.finishJob(j, work.Failed, acceptedAt)
 		return j
 	}
+	t.namePool(q.Pool)
 	j := newJob(record, q, acceptedAt)
 	t.jobs[record.ID] = j
 	t.activeJobs = append(t.activeJobs, j)
