Ended jobs are removed when their retention is over

Cause: no job was ever removed. A holder that takes over read all jobs that ever were, exceeded its host's memory and was killed, one process after the other. status_s was read from the settings and not used.

Submissions with the identifier of a job under removal are refused until it is done. A takeover reads in pages, keeps only the identifiers of older jobs, and removes what an earlier version left. A read of newest records that fails goes on with the page where it failed. Records of hosts, queues, pools and teams that are gone are dropped too. Metrics and log lines say what is kept and what is behind.

The model with removals found both mutations that were tried: submissions that are answered during a removal, and jobs removed before their retention.

--- a/agent/holder.go
+++ b/agent/holder.go
@@ -44,6 +44,8 @@
 	advisor     *platform.AdvisorClient
 	adviceQueue chan sched.AdviceRequest
 	intake      *intake
+	// directRemovers remove records of jobs from the direct partitions.
+	directRemovers [directPartitions]*fencedWriter
 	// resigned means that the holder ended its epoch itself, so that a successor may claim without waiting for a timeout.
 	resigned atomic.Bool
 	// confirmedAt is when the last successful read of the holder's record began. A read that finds a later claim ends the epoch.
@@ -68,6 +70,8 @@
 	driversSyncedAt time.Duration
 	// cancelWaiters holds the callers that wait for a cancellation to be recorded.
 	cancelWaiters map[work.JobID][]chan struct{}
+	// postponed holds jobs that were submitted while records of earlier jobs with their identifiers were being removed.
+	postponed []*submission
 	// directOffsets holds the next offset to read from each direct partition.
 	directOffsets [directPartitions]int64
 }
@@ -92,6 +96,9 @@
 	h.renewPause.Store(int64(minRenewPause))
 	h.progress = newFencedWriter(a, progressTopic, 0, epoch)
 	h.intake = newIntake(h, newFencedWriter(a, jobsTopic, holderPartition, epoch))
+	for n := range h.directRemovers {
+		h.directRemovers[n] = newFencedWriter(a, jobsTopic, directFirstPartition+n, epoch)
+	}
 	h.cloud = platform.NewCloudClient(a.settings.Cloud.Address, a.settings.Node, maxHostOrders)
 	h.advisor = platform.NewAdvisorClient(a.settings.AdvisorAddress)
 	h.adviceQueue = make(chan sched.AdviceRequest, adviceQueueSize)
@@ -135,6 +142,7 @@
 	go h.reportWaves()
 	go h.adviceLoop()
 	go h.yieldLoop()
+	go h.removeLoop()
 	h.loop()
 	h.ready.Store(false)
 	h.mu.Lock()
@@ -290,6 +298,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.table.Flushed(b)
+	h.acceptPostponed()
 	h.dispatch(b.Orders)
 	h.wakeAcknowledged(b)
 	for _, id := range b.EndedJobs() {
--- a/agent/intake.go
+++ b/agent/intake.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"context"
 	"fmt"
 	"sync"
 	"time"
@@ -26,6 +27,12 @@
 	outcome chan mesh.Outcome
 }
 
+// removal holds the keys of records that wait to be removed; done receives the result.
+type removal struct {
+	keys []string
+	done chan error
+}
+
 // intake stores the jobs that callers submit to the holder, many in one append.
 type intake struct {
 	holder *Holder
@@ -35,6 +42,8 @@
 
 	mu      sync.Mutex
 	pending []*submission
+	// removals wait to be written with the next submissions.
+	removals []*removal
 	// closed is set when the epoch ends; later submissions are rejected.
 	closed bool
 }
@@ -46,14 +55,9 @@
 // submit queues a job for the next append and waits for the outcome.
 func (i *intake) submit(job *work.Job, value []byte) mesh.Reply {
 	s := &submission{job: job, value: value, outcome: make(chan mesh.Outcome, 1)}
-	i.mu.Lock()
-	if i.closed {
-		i.mu.Unlock()
+	if !i.enqueue(s) {
 		return mesh.Reply{Outcome: mesh.NotHolder}
 	}
-	i.pending = append(i.pending, s)
-	i.mu.Unlock()
-	signal(i.wake)
 	timer := time.NewTimer(submitTimeout)
 	defer timer.Stop()
 	select {
@@ -69,6 +73,19 @@
 	}
 }
 
+// enqueue queues a submission for the next append, and reports whether it was accepted.
+func (i *intake) enqueue(s *submission) bool {
+	i.mu.Lock()
+	if i.closed {
+		i.mu.Unlock()
+		return false
+	}
+	i.pending = append(i.pending, s)
+	i.mu.Unlock()
+	signal(i.wake)
+	return true
+}
+
 // withdraw removes a submission that no append contains yet, and reports whether it did.
 func (i *intake) withdraw(s *submission) bool {
 	i.mu.Lock()
@@ -82,13 +99,28 @@
 	return false
 }
 
-// takePending returns and clears the pending submissions.
-func (i *intake) takePending() []*submission {
+// takePending returns and clears the pending submissions and removals.
+func (i *intake) takePending() ([]*submission, []*removal) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	batch := i.pending
-	i.pending = nil
-	return batch
+	batch, removals := i.pending, i.removals
+	i.pending, i.removals = nil, nil
+	return batch, removals
+}
+
+// remove removes records of jobs from the holder's partition and waits until the store has done so or the epoch ends.
+func (i *intake) remove(keys []string) error {
+	r := &removal{keys: keys, done: make(chan error, 1)}
+	i.mu.Lock()
+	i.removals = append(i.removals, r)
+	i.mu.Unlock()
+	signal(i.wake)
+	select {
+	case err := <-r.done:
+		return err
+	case <-i.holder.ctx.Done():
+		return context.Cause(i.holder.ctx)
+	}
 }
 
 // run appends pending submissions until the epoch ends.
@@ -100,14 +132,19 @@
 			return
 		case <-i.wake:
 		}
-		batch := i.takePending()
-		if len(batch) == 0 {
+		batch, removals := i.takePending()
+		if len(batch) == 0 && len(removals) == 0 {
 			continue
 		}
 		records := make([]platform.Record, len(batch))
 		for n, s := range batch {
 			records[n] = platform.Record{Key: string(s.job.ID), Value: s.value}
 		}
+		for _, r := range removals {
+			for _, key := range r.keys {
+				records = append(records, platform.Record{Key: key})
+			}
+		}
 		if _, err := i.writer.append(h.ctx, records); err != nil {
 			h.agent.log.Warn("append of jobs failed", zap.Int("jobs", len(batch)), zap.Error(err))
 			// The store may have written the records in an attempt whose response was lost, so it is not certain whether the jobs are stored.
@@ -117,6 +154,9 @@
 			h.cancel(err)
 			return
 		}
+		for _, r := range removals {
+			r.done <- nil
+		}
 		now := h.agent.clock.Now()
 		h.mu.Lock()
 		for _, s := range batch {
@@ -174,7 +214,9 @@
 
 // submit admits a job and stores it. A job that is known already is neither admitted nor stored again, so a caller may repeat a submission.
 func (h *Holder) submit(request mesh.Request) mesh.Reply {
-	if h.knows(request.ID) {
+	if known, removing := h.resubmitted(request.ID); removing {
+		return mesh.Reply{Outcome: mesh.NotDone, RetryMs: retryAfterMs, Cause: "records of an earlier job with this identifier are being removed"}
+	} else if known {
 		return mesh.Reply{Outcome: mesh.Answered}
 	}
 	if h.cannotWrite() {
@@ -193,10 +235,12 @@
 	return h.intake.submit(job, request.Job)
 }
 
-func (h *Holder) knows(id work.JobID) bool {
+// resubmitted reports whether the submitted job is known, and whether it has ended so long ago that its records are being removed. The state of a known job is kept for its retention from now on.
+func (h *Holder) resubmitted(id work.JobID) (known, removing bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.table.Known(id)
+	h.table.Resubmitted(id, h.agent.clock.Now())
+	return h.table.Known(id), h.table.IsBeingRemoved(id)
 }
 
 func (h *Holder) lookupRecorded(id work.JobID) (string, work.State, bool) {
--- a/agent/metrics.go
+++ b/agent/metrics.go
@@ -10,6 +10,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"lavenderwing.example/lavenderwing/mesh"
+	"lavenderwing.example/lavenderwing/platform"
 )
 
 // latencyBuckets range from 1 ms, the latency of a local reply, to 4.1 s, beyond the callers' default timeout.
@@ -27,15 +28,22 @@
 	renewals    tally.Counter
 	starts      tally.Counter
 	panics      tally.Counter
+	removals    tally.Counter
+	backlog     tally.Gauge
 	epoch       tally.Gauge
 	version     tally.Gauge
 	latency     [len(kindNames)]tally.Histogram
 
 	mu        sync.Mutex
 	decisions map[string]tally.Counter
-	refusals  map[int]tally.Counter
+	// stored holds what the last takeover has read of each topic so far.
+	stored   map[string]*storedTopic
+	refusals map[int]tally.Counter
 }
 
+// storedTopic counts the records of a topic and their bytes, keys included.
+type storedTopic struct{ records, bytes int }
+
 // kindNames are the tag values for the kinds of requests.
 var kindNames = [...]string{mesh.Submit: "submit", mesh.Status: "status", mesh.Cancel: "cancel", mesh.Pending: "pending"}
 
@@ -44,8 +52,9 @@
 		scope: scope, page: page,
 		storeReads: scope.Counter("store_reads"), storeWrites: scope.Counter("store_writes"), storeErrors: scope.Counter("store_errors"),
 		cloudCalls: scope.Counter("cloud_calls"), renewals: scope.Counter("target_renewals"), starts: scope.Counter("starts"), panics: scope.Counter("panics"),
+		removals: scope.Counter("jobs_removed"), backlog: scope.Gauge("removal_backlog"),
 		epoch: scope.Gauge("holder_epoch"), version: scope.Gauge("config_version"),
-		decisions: map[string]tally.Counter{}, refusals: map[int]tally.Counter{},
+		decisions: map[string]tally.Counter{}, refusals: map[int]tally.Counter{}, stored: map[string]*storedTopic{},
 	}
 	for i, name := range kindNames {
 		m.latency[i] = scope.Tagged(map[string]string{"kind": name}).Histogram("request_latency", latencyBuckets)
@@ -81,3 +90,28 @@
 	m.mu.Unlock()
 	c.Inc(1)
 }
+
+// resetStored begins to count what a takeover reads.
+func (m *meters) resetStored() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.stored = map[string]*storedTopic{}
+}
+
+// countStored adds a page of a topic to what the takeover has read.
+func (m *meters) countStored(topic string, page []platform.Record) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	s, ok := m.stored[topic]
+	if !ok {
+		s = &storedTopic{}
+		m.stored[topic] = s
+	}
+	for _, r := range page {
+		s.records++
+		s.bytes += len(r.Key) + len(r.Value)
+	}
+	scope := m.scope.Tagged(map[string]string{"topic": topic})
+	scope.Gauge("stored_records").Update(float64(s.records))
+	scope.Gauge("stored_bytes").Update(float64(s.bytes))
+}
--- a/agent/recover.go
+++ b/agent/recover.go
@@ -16,19 +16,21 @@
 	"lavenderwing.example/lavenderwing/work"
 )
 
-// recover loads the state of the scheduling from the store.
+// recover loads the state of the scheduling from the store. It keeps nothing of jobs whose retention is over but their identifiers, so that its memory does not depend on how many jobs there were.
 func (h *Holder) recover() error {
 	var progress, accepted []platform.Record
 	var direct [directPartitions][]platform.Record
 	var next [directPartitions]int64
+	h.agent.meters.resetStored()
+	past := newPastJobs(h.ctx, sched.Retention(h.agent.settings.Bounds.StatusRetention), time.Now().UnixMilli())
 	reads := []func() error{
-		func() (err error) { progress, err = h.fenceAndRead(h.progress); return err },
-		func() (err error) { accepted, err = h.fenceAndRead(h.intake.writer); return err },
+		func() (err error) { progress, err = h.fenceAndRead(h.progress, past.filterProgress); return err },
+		func() (err error) { accepted, err = h.fenceAndRead(h.intake.writer, past.filterJobs); return err },
 		h.readOperators,
 	}
 	for n := range directPartitions {
 		reads = append(reads, func() (err error) {
-			direct[n], next[n], err = h.readNewest(jobsTopic, directFirstPartition+n)
+			direct[n], next[n], err = h.readNewest(jobsTopic, directFirstPartition+n, past.filterJobs)
 			return err
 		})
 	}
@@ -49,31 +51,41 @@
 		h.table.Configure(c.config)
 	}
 	h.directOffsets = next
-	h.load(progress, accepted, slices.Concat(direct[:]...))
+	h.load(progress, accepted, slices.Concat(direct[:]...), past.jobs)
 	for number, w := range waves {
 		h.table.AddWave(w, since[number])
 	}
 	return nil
 }
 
-// readLateDirect reads the direct partitions again in which a job with progress was not found. The predecessor may have read, started and recorded the job after this holder's first read and before the fence.
+// readLateDirect reads those direct partitions again that may have changed between this holder's first read and the fence: the predecessor may have read, started and recorded a job, whose progress then belongs to no job that was read, or removed a job and its progress, which then looks like a new one.
 func (h *Holder) readLateDirect(progress, accepted []platform.Record, direct *[directPartitions][]platform.Record, next *[directPartitions]int64) error {
-	read := make(map[string]bool, len(accepted))
-	for _, records := range append(direct[:], accepted) {
+	read, started := make(map[string]bool, len(accepted)), make(map[string]bool, len(progress))
+	for _, r := range progress {
+		started[r.Key] = true
+	}
+	for _, r := range accepted {
+		read[r.Key] = true
+	}
+	late := map[int]bool{}
+	for n, records := range direct {
 		for _, r := range records {
 			read[r.Key] = true
+			late[n] = late[n] || !started[r.Key]
 		}
 	}
-	late := map[int]bool{}
 	for _, r := range progress {
 		if sched.IsJobKey(r.Key) && !read[r.Key] {
 			late[directIndex(work.JobID(r.Key))] = true
 		}
 	}
 	var reads []func() error
-	for n := range late {
+	for n, isLate := range late {
+		if !isLate {
+			continue
+		}
 		reads = append(reads, func() (err error) {
-			direct[n], next[n], err = h.readMore(jobsTopic, directFirstPartition+n, direct[n], next[n])
+			direct[n], next[n], err = h.readMore(jobsTopic, directFirstPartition+n, direct[n], next[n], keepAll)
 			return err
 		})
 	}
@@ -93,27 +105,33 @@
 	}
 }
 
-// fenceAndRead fences the earlier holders of a partition, so that they cannot write anything more, and returns the newest records. While the store is slow, the fence and the read of all records each take long, so they are made at the same time; what was written meanwhile is read after the fence.
-func (h *Holder) fenceAndRead(w *fencedWriter) ([]platform.Record, error) {
+// pageFilter returns those records of a page that are kept. It may wait until it can tell.
+type pageFilter func(page []platform.Record, pages *platform.NewestPages) []platform.Record
+
+// keepAll keeps all records of a page.
+func keepAll(page []platform.Record, _ *platform.NewestPages) []platform.Record { return page }
+
+// fenceAndRead fences the earlier holders of a partition, so that they cannot write anything more, and returns the newest records that the filter keeps. While the store is slow, the fence and the read of all records each take long, so they are made at the same time; what was written meanwhile is read after the fence.
+func (h *Holder) fenceAndRead(w *fencedWriter, keep pageFilter) ([]platform.Record, error) {
 	var records []platform.Record
 	var end int64
 	err := inParallel(
 		func() error { return w.fence(h.ctx) },
-		func() (err error) { records, end, err = h.readNewest(w.topic, w.part); return err },
+		func() (err error) { records, end, err = h.readNewest(w.topic, w.part, keep); return err },
 	)
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	records, _, err = h.readMore(w.topic, w.part, records, end)
+	records, _, err = h.readMore(w.topic, w.part, records, end, keep)
 	return records, err
 }
 
 // readMore adds what a partition holds from an offset on to its newest records that were read up to there. It returns the result and the partition's end.
-func (h *Holder) readMore(topic string, part int, records []platform.Record, from int64) ([]platform.Record, int64, error) {
+func (h *Holder) readMore(topic string, part int, records []platform.Record, from int64, keep pageFilter) ([]platform.Record, int64, error) {
 	later, end, err := h.readFrom(topic, part, from)
 	var expired *platform.ExpiredError
 	if errors.As(err, &expired) {
-		return h.readNewest(topic, part)
+		return h.readNewest(topic, part, keep)
 	}
 	return mergeRecords(records, later), end, err
 }
@@ -178,24 +196,32 @@
 	return first
 }
 
-// readNewest returns the newest records of a partition and its end; it retries until the epoch ends.
-func (h *Holder) readNewest(topic string, part int) ([]platform.Record, int64, error) {
-	for {
-		records, end, err := h.agent.store.ReadNewest(topic, part, recoverReadTimeout+h.agent.link.pageTime())
+// readNewest returns those of a partition's newest records that the filter keeps, and its end; it retries until the epoch ends.
+func (h *Holder) readNewest(topic string, part int, keep pageFilter) ([]platform.Record, int64, error) {
+	var records []platform.Record
+	pages := h.agent.store.NewestPages(topic, part)
+	for !pages.Done() {
+		page, err := pages.Next(recoverReadTimeout + h.agent.link.pageTime())
 		h.agent.meters.storeReads.Inc(1)
-		if err == nil {
-			h.agent.recordStoreAnswer()
-			return records, max(end, 0), nil
+		if err != nil {
+			h.agent.recordStoreFailure(topic, err)
+			if !sleep(h.ctx, retryPause) {
+				return nil, 0, context.Cause(h.ctx)
+			}
+			continue
 		}
-		h.agent.recordStoreFailure(topic, err)
-		if !sleep(h.ctx, retryPause) {
-			return nil, 0, context.Cause(h.ctx)
+		h.agent.recordStoreAnswer()
+		h.agent.meters.countStored(topic, page)
+		records = append(records, keep(page, pages)...)
+		if err := h.endErr(); err != nil {
+			return nil, 0, err
 		}
 	}
+	return records, max(pages.End(), 0), nil
 }
 
-// load fills the table from the progress records, the jobs that earlier holders accepted, and the records of the direct partitions; the caller holds the lock.
-func (h *Holder) load(progress, accepted, direct []platform.Record) {
+// load fills the table from the progress records, the jobs that earlier holders accepted, the records of the direct partitions, and the identifiers of jobs whose retention is over; the caller holds the lock.
+func (h *Holder) load(progress, accepted, direct []platform.Record, past *sched.JobSet) {
 	now := h.agent.clock.Now()
 	h.table.SetWallClock(time.Now().UnixMilli(), now)
 	known := make(map[string]*work.JobProgress, len(progress))
@@ -213,6 +239,8 @@
 		}
 		known[r.Key] = p
 	}
+	h.addHalfRemoved(past, known, accepted, direct)
+	h.table.LoadExpired(past)
 	for _, records := range [][]platform.Record{accepted, direct} {
 		for _, r := range records {
 			if strings.HasPrefix(r.Key, cancelPrefix) {
@@ -223,6 +251,13 @@
 				h.agent.log.Error("cannot decode the record of a job", zap.String("job", r.Key), zap.Error(err))
 				continue
 			}
+			if past.Contains(job.ID) {
+				if !h.acceptedLately(job) {
+					continue
+				}
+				// A caller has submitted a job with the identifier of one that is being removed.
+				past.Remove(job.ID)
+			}
 			if !h.table.Known(job.ID) {
 				h.handleJob(job, now, func() { h.table.LoadJob(job, known[r.Key], now) })
 			}
@@ -234,6 +269,25 @@
 	}
 }
 
+// addHalfRemoved adds the jobs whose own records are gone and whose final progress is left, because an earlier holder ended within their removal.
+func (h *Holder) addHalfRemoved(past *sched.JobSet, known map[string]*work.JobProgress, accepted, direct []platform.Record) {
+	stored := make(map[string]bool, len(accepted)+len(direct))
+	for _, records := range [][]platform.Record{accepted, direct} {
+		for _, r := range records {
+			stored[r.Key] = true
+		}
+	}
+	for key, p := range known {
+		switch {
+		case stored[key]:
+		case sched.HasEnded(p):
+			past.Add(work.JobID(key))
+		default:
+			h.agent.log.Error("progress without the record of its job", zap.String("job", key))
+		}
+	}
+}
+
 func decodeJob(value []byte) (*work.Job, error) {
 	job := &work.Job{}
 	if err := work.Decode(value, job); err != nil {
--- a/agent/recover_test.go
+++ b/agent/recover_test.go
@@ -66,7 +66,7 @@
 	a, err := New(work.Settings{Node: "n", IP: "127.0.0.1", InternalPorts: [2]int{1, 2}, Store: work.StoreLimits{Address: address}})
 	is.NoErr(err)
 	h := newHolder(a, 2)
-	records, err := h.fenceAndRead(h.progress)
+	records, err := h.fenceAndRead(h.progress, keepAll)
 	is.NoErr(err)
 	values := map[string]string{}
 	for _, r := range records {
--- a/agent/tail.go
+++ b/agent/tail.go
@@ -94,7 +94,16 @@
 		h.agent.log.Error("cannot decode the record of a job", zap.String("job", r.Key), zap.Error(err))
 		return
 	}
-	if h.accept(job, now) {
+	if h.table.IsBeingRemoved(job.ID) {
+		h.postponeAcceptance(job, r.Value)
+		return
+	}
+	if h.acceptedLately(job) {
+		h.table.Resubmitted(job.ID, now)
+	}
+	added := h.accept(job, now)
+	h.table.MarkStoredDirectly(job.ID)
+	if added {
 		h.agent.log.Info("accepted", zap.String("job", string(job.ID)), zap.String("queue", job.Queue), zap.String("team", job.Team), zap.String("by", "store"))
 	}
 }
--- a/sched/ends.go
+++ b/sched/ends.go
@@ -112,7 +112,7 @@
 // finishJob sets the job's final state.
 func (t *Table) finishJob(j *job, state work.State, now time.Duration) {
 	j.state = state
-	j.endedMs = t.wallMs(now)
+	j.endedMs, j.endedAt = t.wallMs(now), now
 	t.markDirty(j)
 	t.logEvent("finished", string(j.record.ID), state.String(), fmt.Sprintf("tookMs=%d queue=%s team=%s", (now-j.acceptedAt).Milliseconds(), j.record.Queue, j.record.Team))
 }
--- a/sched/flush.go
+++ b/sched/flush.go
@@ -9,7 +9,7 @@
 	"lavenderwing.example/lavenderwing/work"
 )
 
-// Entry is a record to be written under a key.
+// Entry is a record to be written under a key; without a value it removes the key.
 type Entry struct {
 	Key   string
 	Value []byte
@@ -26,6 +26,7 @@
 	cancelled  []bool
 	acks       []ack
 	waves      []waveRecord
+	removed    []string
 }
 
 // waveRecord is a wave whose progress a batch holds, and whether it was complete then.
@@ -75,8 +76,11 @@
 
 // Flush takes all that has changed since the last batch.
 func (t *Table) Flush(now time.Duration) (*Batch, error) {
-	b := &Batch{Orders: t.pendingStarts, jobs: t.dirty}
-	t.pendingStarts, t.dirty = nil, nil
+	b := &Batch{Orders: t.pendingStarts, jobs: t.dirty, removed: t.removedKeys}
+	t.pendingStarts, t.dirty, t.removedKeys = nil, nil, nil
+	for _, key := range b.removed {
+		b.Entries = append(b.Entries, Entry{Key: key})
+	}
 	for _, j := range b.jobs {
 		j.dirty = false
 		value, err := work.Encode(j.progress())
@@ -151,7 +155,7 @@
 		}
 		p := &work.WaveProgress{Completed: w.completed}
 		for _, name := range w.Hosts {
-			if w.begun[name] {
+			if w.begun[name] && !w.completed {
 				p.Started = append(p.Started, name)
 			}
 		}
@@ -174,6 +178,7 @@
 			j.occurrences = nil
 		}
 	}
+	t.forgetRemoved(b.removed)
 	for _, r := range b.waves {
 		r.wave.recordedCompleted = r.completed
 	}
--- a/sched/hostlist.go
+++ b/sched/hostlist.go
@@ -70,6 +70,9 @@
 
 func (t *Table) removeHost(h *host, _ time.Duration) {
 	delete(t.hosts, h.Name)
+	if h.lastIssued.FencingToken != 0 {
+		t.hostRecords[h.Name] = h.lastIssued
+	}
 	for i, o := range t.sortedHosts {
 		if o == h {
 			t.sortedHosts = append(t.sortedHosts[:i], t.sortedHosts[i+1:]...)
--- a/sched/job.go
+++ b/sched/job.go
@@ -112,6 +112,11 @@
 	started  bool
 	dirty    bool
 	endedMs  int64
+	// endedAt is when the job ended or was submitted again after that, by the clock of this process, and removing means that its records are being removed from the store.
+	endedAt  time.Duration
+	removing bool
+	// storedDirectly means that a direct partition holds a record of the job.
+	storedDirectly bool
 	// nextOccurrence is the number of occurrences that have been added.
 	nextOccurrence int
 	occurrences    []*occurrence
--- a/sched/load.go
+++ b/sched/load.go
@@ -55,6 +55,10 @@
 	}
 	j.state, j.recordedState, j.endedMs = progress.State, progress.State, progress.EndedMs
 	j.cancelled, j.recordedCancelled = progress.Cancelled, progress.Cancelled
+	j.endedAt = now
+	if progress.EndedMs > 0 {
+		j.endedAt -= max(time.Duration(t.wallMs(now)-progress.EndedMs)*time.Millisecond, 0)
+	}
 	j.started = len(progress.Items) > 0 || progress.State != work.Queued
 	sort.Slice(progress.Items, func(a, b int) bool { return progress.Items[a].Occurrence < progress.Items[b].Occurrence })
 	for i := range progress.Items {
--- a/sched/model_test.go
+++ b/sched/model_test.go
@@ -93,6 +93,8 @@
 	crashes *modelCrashes
 	// capacity changes the capacities of targets, if that is enabled.
 	capacity modelCapacity
+	// retention removes ended jobs, if that is enabled.
+	retention modelRetention
 	// cancels adds cancellations and the faults that surround them, if that is enabled.
 	cancels modelCancels
 }
@@ -137,7 +139,7 @@
 	m.schedule(0, m.stepTargets)
 	m.capacity.begin(m)
 	m.cancels.begin(m)
-	for len(m.events) > 0 && m.now < modelDeadline && len(m.violations) == 0 {
+	for len(m.events) > 0 && m.now < modelDeadline+m.retention.longer && len(m.violations) == 0 {
 		e := heap.Pop(&m.events).(timedEvent)
 		m.now = e.at
 		e.action()
@@ -146,6 +148,9 @@
 		return
 	}
 	for _, j := range m.jobs {
+		if m.retention.isRemoved(m, j) {
+			continue
+		}
 		_, state, _ := m.holders[len(m.holders)-1].table.Lookup(j.ID)
 		if !m.cancels.mayEnd(m, j) && !m.crashes.mayEnd(j.ID, state) {
 			m.reportViolation("job %s is %v at the end", j.ID, state)
@@ -168,6 +173,7 @@
 	}
 	m.cancels.submit(m, j)
 	m.jobs = append(m.jobs, j)
+	m.retention.submitAgain(m, j)
 	for _, h := range m.holders {
 		if h.alive {
 			h.table.Accept(j, m.now)
--- a/sched/modelholder_test.go
+++ b/sched/modelholder_test.go
@@ -56,8 +56,11 @@
 				m.reportViolation("record of %s: %v", j.ID, err)
 			}
 		}
-		h.table.LoadJob(j, p, m.now)
+		if m.retention.load(h, j, p) {
+			h.table.LoadJob(j, p, m.now)
+		}
 	}
+	m.retention.takeOver(h)
 	m.schedule(m.randomDuration(50*time.Millisecond, 500*time.Millisecond), h.plan)
 	h.driveTargets()
 	m.cancels.takeOver(h)
@@ -120,6 +123,10 @@
 			return
 		}
 		for _, e := range b.Entries {
+			if e.Value == nil {
+				delete(h.store, e.Key)
+				continue
+			}
 			h.store[e.Key] = e.Value
 		}
 		h.schedule(h.randomDuration(time.Millisecond, 20*time.Millisecond), func() {
--- a/sched/script_test.go
+++ b/sched/script_test.go
@@ -266,6 +266,22 @@
 		}
 	case "deposed": // yes|no: checks whether the holder knows that it was replaced
 		sr.is.Equal(sr.table.Deposed(), args[0] == "yes") // whether the table counts as deposed
+	case "unknown": // JOB: checks that the job is not known
+		sr.is.True(!sr.table.Known(padJobID(args[0]))) // the job is unknown
+	case "resubmitted": // JOB: a caller submits the job again
+		sr.table.Resubmitted(padJobID(args[0]), sr.now)
+	case "removable": // JOB...|none: a sweep begins, and checks the jobs that it removes
+		sr.checkRemovable(args)
+	case "removed", "removalFailed": // JOB: the store has removed the job's own records, or has not
+		ids := []work.JobID{padJobID(args[0])}
+		if command == "removed" {
+			sr.table.JobRecordsRemoved(ids)
+		} else {
+			sr.table.RemovalFailed(ids)
+		}
+	case "stored": // KEY yes|no: checks whether the store holds a record
+		_, ok := sr.store[args[0]]
+		sr.is.Equal(ok, args[1] == "yes") // the store holds the record
 	case "pending": // QUEUE N: checks the number of jobs without a start
 		sr.is.Equal(sr.table.CountPendingJobs(args[0]), parseNumber(args[1])) // pending jobs
 	case "acknowledged": // TARGET SEQUENCE: checks the last end that the next renewal acknowledges
@@ -309,6 +325,10 @@
 // endFlush stores the batch and adds its orders to those that want checks.
 func (sr *scriptRunner) endFlush() {
 	for _, e := range sr.batch.Entries {
+		if e.Value == nil {
+			delete(sr.store, e.Key)
+			continue
+		}
 		sr.store[e.Key] = e.Value
 	}
 	sr.table.Flushed(sr.batch)
--- a/sched/scriptwords_test.go
+++ b/sched/scriptwords_test.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -69,6 +70,21 @@
 	sr.table.Accept(j, sr.now)
 }
 
+// checkRemovable begins a sweep and checks which jobs it removes.
+func (sr *scriptRunner) checkRemovable(want []string) {
+	sr.Helper()
+	sr.table.PruneIdle(sr.now)
+	ids, _ := sr.table.RemovalCandidates(10, sr.now)
+	got := make([]string, len(ids))
+	for n, id := range ids {
+		got[n] = strings.TrimLeft(string(id), "0")
+	}
+	slices.Sort(got)
+	if text := cmp.Or(strings.Join(got, " "), "none"); text != strings.Join(want, " ") {
+		sr.Fatalf("%s: got %s", sr.line, text)
+	}
+}
+
 func (sr *scriptRunner) parseStep(text string) work.Step {
 	parts := strings.Split(text, ":")
 	count, rest, _ := strings.Cut(parts[0], "x")
--- a/sched/table.go
+++ b/sched/table.go
@@ -58,6 +58,13 @@
 	// candidateBuffer holds the candidates of the last plan, so that the next one reuses their memory.
 	candidateBuffer []candidate
 
+	// expired holds the jobs whose retention was over before this holder took over; the value means that their records are being removed.
+	expired map[jobKey]bool
+	// removedKeys holds the keys whose records the next batch removes.
+	removedKeys []string
+	// unusedSince holds since when queues, pools, teams and hosts that the table knows have not been in use.
+	unusedSince map[string]time.Duration
+
 	// dirty holds the jobs whose progress has changed since the last batch.
 	dirty []*job
 	// orders may be sent at once, pendingStarts only after the batch that records them has been written.
@@ -132,7 +139,7 @@
 // New returns an empty table.
 func New(bounds work.Bounds, opts ...Option) *Table {
 	t := &Table{
-		bounds: bounds, config: &work.Config{}, poolNames: map[string]bool{}, jobs: map[work.JobID]*job{},
+		bounds: bounds, config: &work.Config{}, poolNames: map[string]bool{}, expired: map[jobKey]bool{}, unusedSince: map[string]time.Duration{}, jobs: map[work.JobID]*job{},
 		targets: map[work.TargetID]*target{}, targetByAddress: map[string]*target{}, usage: map[string]work.Resources{}, runStatsByQueue: map[string]*runStats{},
 		hosts: map[string]*host{}, hostRecords: map[string]work.HostOrderRecord{}, rejectedMoves: map[string]bool{},
 		heldEntries: map[work.TargetID]heldEntry{}, waves: map[int64]*waveState{}, pools: map[string]*poolState{}, trialQueues: map[string]trialQueue{},
@@ -276,7 +283,7 @@
 	}
 	j.cancelled = true
 	j.state = work.Cancelled
-	j.endedMs = t.wallMs(now)
+	j.endedMs, j.endedAt = t.wallMs(now), now
 	t.markDirty(j)
 	t.stopAllRuns(j, now)
 	t.logEvent("cancelled", string(id), "caller", j.record.Queue)
--- a/work/record.go
+++ b/work/record.go
@@ -41,6 +41,13 @@
 	OnTrial bool
 }
 
+// HasFinalState reports whether an encoded JobProgress says that the job has ended, without decoding its items.
+func HasFinalState(value []byte) bool {
+	// The record is an array of at most 23 elements, which begins with the state as a number below 24; CBOR encodes each in one byte.
+	const arrayOfFour = 0x84
+	return len(value) > 1 && value[0] == arrayOfFour && value[1] <= byte(Cancelled) && State(value[1]).Final()
+}
+
 // earlierItemProgress is an ItemProgress as it was stored before crashes were counted. It repeats the fields, because the stored form stays as it is when ItemProgress changes.
 type earlierItemProgress struct {
 	_          struct{} `cbor:",toarray"`
@@ -77,7 +84,7 @@
 // WaveProgress is the stored progress of a maintenance wave.
 type WaveProgress struct {
 	_ struct{} `cbor:",toarray"`
-	// Started lists the hosts whose maintenance the cloud has accepted.
+	// Started lists the hosts whose maintenance the cloud has accepted, unless the wave is complete.
 	Started   []string
 	Completed bool
 }
