Listeners go on after failed attempts to accept a connection

Cause: a server ends at the first failed accept, as when the file descriptors are used up, and the process went on without it.

Change: the listeners of the processes repeat failed attempts with growing pauses, log the failure and the recovery once, and a process whose callers' listener fails is not ready.

Evidence: TestListenerOutlivesFailedAccepts and TestProcessThatAcceptsNothingIsNotReady; there was no such listener before.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -17,6 +17,7 @@
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
 
+	"lavenderwing.example/lavenderwing/accept"
 	"lavenderwing.example/lavenderwing/elect"
 	"lavenderwing.example/lavenderwing/mesh"
 	"lavenderwing.example/lavenderwing/peer"
@@ -78,7 +79,9 @@
 	// storeAnsweredAt is when the store last answered, 0 before its first answer and -1 while calls to it fail.
 	storeAnsweredAt atomic.Int64
 	callerServer    *fasthttp.Server
-	inFlight        atomic.Int64
+	// front is the listener for callers.
+	front    *accept.Listener
+	inFlight atomic.Int64
 	// checkNow makes the follower check the holder without waiting for the next heartbeat.
 	checkNow chan struct{}
 	// loadSettings reads the settings again; a signal on reloadSignal requests it.
@@ -173,7 +176,7 @@
 
 // Run serves until the context ends and then shuts down gracefully.
 func (a *Agent) Run(ctx context.Context) error {
-	if err := a.peerServer.Listen(a.address); err != nil {
+	if err := a.peerServer.Listen(a.address, a.reportAccepts(a.address)); err != nil {
 		return trace.Wrap(err)
 	}
 	go a.peerServer.Serve()
--- a/agent/holder_test.go
+++ b/agent/holder_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"net"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -11,6 +12,7 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zaptest/observer"
 
+	"lavenderwing.example/lavenderwing/accept"
 	"lavenderwing.example/lavenderwing/fake"
 	"lavenderwing.example/lavenderwing/mesh"
 	"lavenderwing.example/lavenderwing/platform"
@@ -104,7 +106,7 @@
 	is := is.New(t)
 	var calls atomic.Int64
 	server := &fasthttp.Server{Handler: func(*fasthttp.RequestCtx) { calls.Add(1) }}
-	l, err := listenTCP(fake.LoopbackAddresses(1)[0])
+	l, err := net.Listen("tcp4", fake.LoopbackAddresses(1)[0])
 	is.NoErr(err)
 	go func() { _ = server.Serve(l) }()
 	defer func() { _ = server.Shutdown() }()
@@ -279,3 +281,36 @@
 	a.forgetMembers(stale + memberForgetTime)
 	is.True(h.mayRenew()) // the holder and its follower are all members
 }
+
+// blockedListener fails the first attempt to accept a connection and waits for ever in the later ones.
+type blockedListener struct {
+	net.Listener
+	failed bool
+}
+
+// Accept implements net.Listener.
+func (l *blockedListener) Accept() (net.Conn, error) {
+	if !l.failed {
+		l.failed = true
+		return nil, errors.New("too many open files")
+	}
+	select {}
+}
+
+// TestProcessThatAcceptsNothingIsNotReady guards against callers that are sent to a process whose listener fails.
+func TestProcessThatAcceptsNothingIsNotReady(t *testing.T) {
+	is := is.New(t)
+	a, _ := newTestAgent(t)
+	a.storeAnsweredAt.Store(int64(a.clock.Now() + time.Minute))
+	a.config.Store(&configState{config: &work.Config{Version: 1}})
+	var ready []bool
+	reported := make(chan struct{})
+	a.front = accept.New(&blockedListener{}, accept.WithReport(func(error) {
+		ready = append(ready, a.isReady())
+		reported <- struct{}{}
+	}))
+	go func() { _, _ = a.front.Accept() }()
+	<-reported
+	<-reported
+	is.Equal(ready, []bool{false, true}) // while attempts fail, and once one waits for a connection
+}
--- a/agent/http.go
+++ b/agent/http.go
@@ -11,6 +11,7 @@
 	"github.com/valyala/fasthttp/fasthttpadaptor"
 	"go.uber.org/zap"
 
+	"lavenderwing.example/lavenderwing/accept"
 	"lavenderwing.example/lavenderwing/mesh"
 	"lavenderwing.example/lavenderwing/platform"
 )
@@ -32,34 +33,55 @@
 		NoDefaultDate: true, DisableHeaderNamesNormalizing: false, ReadBufferSize: 16 << 10,
 		IdleTimeout: 15 * time.Second, ReadTimeout: 15 * time.Second, CloseOnShutdown: true,
 	}
-	for _, s := range []struct {
-		address string
-		server  *fasthttp.Server
-	}{
-		{a.settings.FrontAddress, a.callerServer},
-		{a.settings.ReadinessAddress, &fasthttp.Server{Handler: a.readinessHandler(), NoDefaultServerHeader: true, NoDefaultDate: true}},
-	} {
-		l, err := listenTCP(s.address)
-		if err != nil {
-			return trace.Wrap(err)
-		}
-		go func() {
-			if err := s.server.Serve(l); err != nil {
-				a.log.Error("server stopped serving", zap.String("address", s.address), zap.Error(err))
-			}
-		}()
+	front, err := a.listenTCP(a.settings.FrontAddress)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	a.front = front
+	readiness, err := a.listenTCP(a.settings.ReadinessAddress)
+	if err != nil {
+		return trace.Wrap(err)
 	}
+	go a.serveOn(a.callerServer, front)
+	go a.serveOn(&fasthttp.Server{Handler: a.readinessHandler(), NoDefaultServerHeader: true, NoDefaultDate: true}, readiness)
 	go a.serveMetrics()
 	return nil
 }
 
+// serveOn serves until the listener is closed.
+func (a *Agent) serveOn(server *fasthttp.Server, l net.Listener) {
+	if err := server.Serve(l); err != nil {
+		a.log.Error("server stopped serving", zap.Stringer("address", l.Addr()), zap.Error(err))
+	}
+}
+
+// listenTCP returns a listener on the address that goes on after failed attempts to accept a connection.
+func (a *Agent) listenTCP(address string) (*accept.Listener, error) {
+	l, err := net.Listen("tcp4", address)
+	if err != nil {
+		return nil, trace.Wrap(err, "listening on %s", address)
+	}
+	return accept.New(l, a.reportAccepts(address)), nil
+}
+
+// reportAccepts logs when the listener on the address begins to fail, and when it accepts connections again.
+func (a *Agent) reportAccepts(address string) accept.Option {
+	return accept.WithReport(func(err error) {
+		if err != nil {
+			a.log.Error("cannot accept connections", zap.String("address", address), zap.Error(err))
+			return
+		}
+		a.log.Info("connections are accepted again", zap.String("address", address))
+	})
+}
+
 // serveMetrics serves the metrics page; a failure does not stop the process.
 func (a *Agent) serveMetrics() {
 	if a.metricsPort == 0 || a.meters.page == nil {
 		return
 	}
 	address := net.JoinHostPort(a.settings.IP, strconv.Itoa(a.metricsPort))
-	l, err := listenTCP(address)
+	l, err := a.listenTCP(address)
 	if err != nil {
 		a.log.Error("cannot open the port of the metrics page", zap.Error(err))
 		return
@@ -86,9 +108,9 @@
 	return r.Handler
 }
 
-// isReady reports whether the process can serve callers: it has a configuration, is not stopping, and reaches the holder or the store.
+// isReady reports whether the process can serve callers: it has a configuration, is not stopping, accepts connections, and reaches the holder or the store.
 func (a *Agent) isReady() bool {
-	if a.config.Load() == nil || a.stopping.Load() {
+	if a.config.Load() == nil || a.stopping.Load() || (a.front != nil && a.front.Failing()) {
 		return false
 	}
 	now := a.clock.Now()
--- a/agent/recover_test.go
+++ b/agent/recover_test.go
@@ -4,6 +4,7 @@
 	"encoding/base64"
 	"encoding/binary"
 	"encoding/json"
+	"net"
 	"strconv"
 	"testing"
 
@@ -19,7 +20,7 @@
 
 // startServer serves HTTP at the address until the test ends.
 func startServer(t *testing.T, is *is.I, address string, handler fasthttp.RequestHandler) {
-	listener, err := listenTCP(address)
+	listener, err := net.Listen("tcp4", address)
 	is.NoErr(err)
 	server := &fasthttp.Server{Handler: handler}
 	go func() { _ = server.Serve(listener) }()
--- a/agent/stop.go
+++ b/agent/stop.go
@@ -1,10 +1,8 @@
 package agent
 
 import (
-	"net"
 	"time"
 
-	"github.com/gravitational/trace"
 	"go.uber.org/zap"
 )
 
@@ -39,8 +37,3 @@
 func mayExit(inFlight int64, took, grace time.Duration) bool {
 	return (inFlight == 0 && took >= balancerDelay) || took >= time.Duration(float64(grace)*maxGraceShare)
 }
-
-func listenTCP(address string) (net.Listener, error) {
-	l, err := net.Listen("tcp4", address)
-	return l, trace.Wrap(err, "listening on %s", address)
-}
--- a/entry/node.go
+++ b/entry/node.go
@@ -19,6 +19,7 @@
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
 
+	"lavenderwing.example/lavenderwing/accept"
 	"lavenderwing.example/lavenderwing/admit"
 	"lavenderwing.example/lavenderwing/claim"
 	"lavenderwing.example/lavenderwing/conns"
@@ -223,10 +224,18 @@
 
 // Run serves until ctx is cancelled, and then stops gracefully. It returns earlier with an error if it cannot start or the server fails, and without an error after Kill.
 func (n *Node) Run(ctx context.Context) error {
-	listener, err := net.Listen("tcp", n.settings.Listen)
+	inner, err := net.Listen("tcp", n.settings.Listen)
 	if err != nil {
 		return trace.Wrap(err, "listening on %s", n.settings.Listen)
 	}
+	report := accept.WithReport(func(err error) {
+		if err != nil {
+			n.log.Error("cannot accept connections", zap.Error(err))
+			return
+		}
+		n.log.Info("connections are accepted again")
+	})
+	var listener net.Listener = accept.New(inner, report)
 	n.listener.Store(&listener)
 	peers, err := peer.NewServer(n, n.settings.PeerSecret, &n.peerBytes)
 	if err != nil {
--- a/peer/server.go
+++ b/peer/server.go
@@ -7,6 +7,8 @@
 	"sync/atomic"
 
 	"github.com/gravitational/trace"
+
+	"lavenderwing.example/lavenderwing/accept"
 )
 
 // Server answers the calls of peers.
@@ -35,12 +37,12 @@
 }
 
 // Listen starts to listen on the address.
-func (s *Server) Listen(address string) error {
+func (s *Server) Listen(address string, opts ...accept.Option) error {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return trace.Wrap(err, "listening on %s", address)
 	}
-	s.listener = l
+	s.listener = accept.New(l, opts...)
 	return nil
 }
 
