Jobs are read and cancelled only by the team that handed them in

Cause: a request without a team, as through a public queue, passed the check of teams, and a submission was compared with known jobs by identifier alone.

Change: a job's team, or its queue where that is or was public, decides who reads, cancels and repeats it. Another caller's submission with its identifier is refused with 409. If a process without a holder has stored one, the first job's record is stored again, so that a takeover does not find the other one's.

--- a/agent/cluster_test.go
+++ b/agent/cluster_test.go
@@ -105,7 +105,7 @@
 			{Name: "open", Host: "jobs.example", PathPrefix: "/open/", Pool: "pool", Public: true, MaxAttempts: 3, SlackFactor: 2, FixedSlackMs: 600},
 		},
 		Pools: []work.Pool{{Name: "pool"}},
-		Teams: []work.Team{{Name: "team", Keys: []string{key}, Weight: 1}},
+		Teams: []work.Team{{Name: "team", Keys: []string{key}, Weight: 1}, {Name: "rival", Keys: []string{"rivalKey"}, Weight: 1}},
 	}
 }
 
@@ -171,22 +171,9 @@
 	c.Helper()
 	switch command {
 	case "submit": // NODE JOB SPEC COUNTxCPU...: submits a job until it is accepted; each COUNTxCPU is a step that depends on the one before, and commas in SPEC stand for spaces
-		job := &work.Job{ID: id(args[1]), Spec: strings.ReplaceAll(args[2], ",", " ")}
-		for _, step := range args[3:] {
-			count, cpu, _ := strings.Cut(step, "x")
-			spec := work.Step{Count: atoi(count), Demand: work.Resources{CPU: int64(atoi(cpu)), MemMB: 1}, EstimateMs: 50, Serving: strings.Contains(args[2], "serving")}
-			if n := len(job.Steps); n > 0 {
-				spec.After = []int{n - 1}
-			}
-			job.Steps = append(job.Steps, spec)
-		}
-		c.platform.Checker.AddJob(job)
-		body, err := stage.JobBody(job)
-		c.is.NoErr(err)
-		c.await(func() bool {
-			status, _ := c.call(atoi(args[0]), "POST", "/q/"+string(job.ID), "key", body)
-			return status == fasthttp.StatusOK
-		})
+		c.submit("/q/", "key", args)
+	case "submitPublic": // NODE JOB SPEC COUNTxCPU...: the same through the public queue
+		c.submit("/open/", "", args)
 	case "state": // NODE JOB STATE: waits until the job has the state; fails if the job is unknown
 		c.await(func() bool {
 			status, body := c.call(atoi(args[0]), "GET", "/q/"+string(id(args[1])), "key", nil)
@@ -258,6 +245,27 @@
 	}
 }
 
+// submit hands in a job through the queue with the prefix until it is accepted.
+func (c *cluster) submit(prefix, key string, args []string) {
+	c.Helper()
+	job := &work.Job{ID: id(args[1]), Spec: strings.ReplaceAll(args[2], ",", " ")}
+	for _, step := range args[3:] {
+		count, cpu, _ := strings.Cut(step, "x")
+		spec := work.Step{Count: atoi(count), Demand: work.Resources{CPU: int64(atoi(cpu)), MemMB: 1}, EstimateMs: 50, Serving: strings.Contains(args[2], "serving")}
+		if n := len(job.Steps); n > 0 {
+			spec.After = []int{n - 1}
+		}
+		job.Steps = append(job.Steps, spec)
+	}
+	c.platform.Checker.AddJob(job)
+	body, err := stage.JobBody(job)
+	c.is.NoErr(err)
+	c.await(func() bool {
+		status, _ := c.call(atoi(args[0]), "POST", prefix+string(job.ID), key, body)
+		return status == fasthttp.StatusOK
+	})
+}
+
 // oddEntries holds values of the entries that the script command odd leaves; SEQ is replaced by a number that rises.
 var oddEntries = map[string]string{
 	"deep":     `{"service":"pool","address":"10.0.0.9:8080","state":"ready","seq":SEQ,"capacity":{"cpu":1000,"mem_mb":1000},"labels":` + strings.Repeat("[", 10000) + strings.Repeat("]", 10000) + `}`,
--- a/agent/guard_test.go
+++ b/agent/guard_test.go
@@ -39,7 +39,7 @@
 	h.handleJob(job, time.Second, func() { panic("a mistake in this program") })
 	h.mu.Unlock()
 	is.True(h.table.Known(job.ID)) // it is not reported as unknown
-	_, state, _ := h.lookupRecorded(job.ID)
+	_, _, state, _ := h.lookupRecorded(job.ID)
 	is.Equal(state, work.Queued)
 	h.step()
 	is.NoErr(h.endErr())
--- a/agent/intake.go
+++ b/agent/intake.go
@@ -214,10 +214,8 @@
 
 // submit admits a job and stores it. A job that is known already is neither admitted nor stored again, so a caller may repeat a submission.
 func (h *Holder) submit(request mesh.Request) mesh.Reply {
-	if known, removing := h.resubmitted(request.ID); removing {
-		return mesh.Reply{Outcome: mesh.NotDone, RetryMs: retryAfterMs, Cause: "records of an earlier job with this identifier are being removed"}
-	} else if known {
-		return mesh.Reply{Outcome: mesh.Answered}
+	if reply, settled := h.resubmitted(request); settled {
+		return reply
 	}
 	if h.cannotWrite() {
 		return mesh.Reply{Outcome: mesh.NotDone, RetryMs: retryAfterMs, Cause: "holder cannot write to the store"}
@@ -235,18 +233,40 @@
 	return h.intake.submit(job, request.Job)
 }
 
-// resubmitted reports whether the submitted job is known, and whether it has ended so long ago that its records are being removed. The state of a known job is kept for its retention from now on.
-func (h *Holder) resubmitted(id work.JobID) (known, removing bool) {
+// resubmitted returns the reply to a submission whose identifier is that of a known job, and whether it is. The state of the caller's own job is kept for its retention from now on.
+func (h *Holder) resubmitted(request mesh.Request) (mesh.Reply, bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.table.Resubmitted(id, h.agent.clock.Now())
-	return h.table.Known(id), h.table.IsBeingRemoved(id)
+	if h.table.IsBeingRemoved(request.ID) {
+		return mesh.Reply{Outcome: mesh.NotDone, RetryMs: retryAfterMs, Cause: "records of an earlier job with this identifier are being removed"}, true
+	}
+	team, queue, known := h.table.Origin(request.ID)
+	switch {
+	case !known:
+		return mesh.Reply{}, false
+	case !handedIn(request, team, queue):
+		return mesh.Reply{Outcome: mesh.Conflict}, true
+	}
+	h.table.Resubmitted(request.ID, h.agent.clock.Now())
+	return mesh.Reply{Outcome: mesh.Answered}, true
+}
+
+// handedIn reports whether the request's caller may be the one that handed in a job with the team and queue: it is of the same team, or uses the same queue, which was public then or is now.
+func handedIn(request mesh.Request, team, queue string) bool {
+	return team == request.Team || (queue == request.Queue && (team == "" || request.Team == ""))
+}
+
+// mayAct reports whether the request's caller may read or cancel a job with the team and queue: one that it may have handed in, or one of a public queue.
+func mayAct(request mesh.Request, team, queue string) bool {
+	return team == "" || handedIn(request, team, queue)
 }
 
-func (h *Holder) lookupRecorded(id work.JobID) (string, work.State, bool) {
+func (h *Holder) lookupRecorded(id work.JobID) (team, queue string, state work.State, known bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.table.Lookup(id)
+	team, queue, known = h.table.Origin(id)
+	_, state, _ = h.table.Lookup(id)
+	return team, queue, state, known
 }
 
 func (h *Holder) admit(job *work.Job) sched.Admission {
@@ -255,12 +275,12 @@
 	return h.table.Admit(job, h.agent.clock.Now())
 }
 
-// lookup returns a job's state, or a reply that refuses the request and false. Another process may just have stored the job directly, so lookup reads the job's direct partition once before it reports a job as unknown. It checks the team only if both the request and the job have one; those of public queues have none.
+// lookup returns a job's state, or a reply that refuses the request and false. Another process may just have stored the job directly, so lookup reads the job's direct partition once before it reports a job as unknown.
 func (h *Holder) lookup(request mesh.Request) (work.State, mesh.Reply, bool) {
 	for reread := false; ; reread = true {
-		team, state, known := h.lookupRecorded(request.ID)
+		team, queue, state, known := h.lookupRecorded(request.ID)
 		switch {
-		case known && team != "" && request.Team != "" && team != request.Team:
+		case known && !mayAct(request, team, queue):
 			return state, mesh.Reply{Outcome: mesh.Denied}, false
 		case known:
 			return state, mesh.Reply{}, true
--- a/agent/retain_test.go
+++ b/agent/retain_test.go
@@ -240,3 +240,25 @@
 	is.NoErr(h.recover())
 	is.True(!h.table.Known(id))
 }
+
+// TestRecordOfAKnownJobIsKept guards against a job that turns into another team's at the next takeover, because a process without a holder has stored that one under the same identifier.
+func TestRecordOfAKnownJobIsKept(t *testing.T) {
+	r := newRetentionTest(t)
+	const id = "00000000000000a1"
+	own, other := r.job(id, lately), r.job(id, 0)
+	own.Team, other.Team = "own", "other"
+	part := directFirstPartition + directIndex(id)
+	r.put(jobsTopic, part, id, own)
+	h := r.recover(1)
+	r.put(jobsTopic, part, id, other)
+	r.is.NoErr(h.readDirect(directIndex(id), 0))
+	for range 200 {
+		if r.keys(jobsTopic, holderPartition) > 0 {
+			break
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	team, _, known := r.recover(2).table.Origin(id)
+	r.is.True(known)
+	r.is.Equal(team, "own")
+}
--- a/agent/tail.go
+++ b/agent/tail.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/zap"
 
+	"lavenderwing.example/lavenderwing/mesh"
 	"lavenderwing.example/lavenderwing/platform"
 	"lavenderwing.example/lavenderwing/work"
 )
@@ -101,6 +102,10 @@
 	if h.acceptedLately(job) {
 		h.table.Resubmitted(job.ID, now)
 	}
+	if record, known := h.table.Record(job.ID); known && (record.Team != job.Team || record.Queue != job.Queue) {
+		h.keepRecord(record, job)
+		return
+	}
 	added := h.accept(job, now)
 	h.table.MarkStoredDirectly(job.ID)
 	if added {
@@ -108,6 +113,17 @@
 	}
 }
 
+// keepRecord stores a known job again that another one with its identifier, stored without the holder, may have replaced in the store. The caller of the other job was answered by a process that could not know of the first one.
+func (h *Holder) keepRecord(record, other *work.Job) {
+	h.agent.log.Error("identifier is used by jobs of two teams or queues", zap.String("job", string(record.ID)), zap.String("team", record.Team), zap.String("queue", record.Queue), zap.String("otherTeam", other.Team), zap.String("otherQueue", other.Queue))
+	value, err := work.Encode(record)
+	if err != nil {
+		h.agent.log.Error("job cannot be encoded", zap.Error(err))
+		return
+	}
+	h.intake.enqueue(&submission{job: record, value: value, outcome: make(chan mesh.Outcome, 1)})
+}
+
 // tailTargets reads the targets' topic and applies its records until the epoch ends.
 func (h *Holder) tailTargets() {
 	next := int64(-1)
--- a/mesh/message.go
+++ b/mesh/message.go
@@ -42,11 +42,13 @@
 	Undecided
 	// NotHolder means that the called process is not the holder.
 	NotHolder
+	// Conflict means that the identifier of a submitted job is that of a job of another team. The request had no effect.
+	Conflict
 )
 
 // String names the outcome in logs.
 func (o Outcome) String() string {
-	return [...]string{"answered", "unknown", "denied", "notDone", "overload", "undecided", "notHolder"}[o]
+	return [...]string{"answered", "unknown", "denied", "notDone", "overload", "undecided", "notHolder", "conflict"}[o]
 }
 
 // Reply is the reply to a Request. Which fields are set depends on the request's kind and on the outcome.
--- a/sched/table.go
+++ b/sched/table.go
@@ -251,6 +251,24 @@
 	return j.record.Team, state, true
 }
 
+// Origin returns the team and the queue that a job was handed in by.
+func (t *Table) Origin(id work.JobID) (team, queue string, known bool) {
+	j, ok := t.jobs[id]
+	if !ok {
+		return "", "", false
+	}
+	return j.record.Team, j.record.Queue, true
+}
+
+// Record returns a job as it was accepted.
+func (t *Table) Record(id work.JobID) (*work.Job, bool) {
+	j, ok := t.jobs[id]
+	if !ok {
+		return nil, false
+	}
+	return j.record, true
+}
+
 // CountPendingJobs counts the queue's jobs of which no item has been started.
 func (t *Table) CountPendingJobs(queue string) int {
 	n := 0
