Records and appends keep to the store's limits

Change: an append is split at request_bytes. A job that does not fit a record, or whose progress may not once all its items run, is refused at once with 413 and the limit; one that a process stored without the holder is set aside.

--- a/agent/http.go
+++ b/agent/http.go
@@ -157,6 +157,8 @@
 		a.refuse(ctx, r, fasthttp.StatusForbidden, 0, "job of another team")
 	case mesh.Conflict:
 		a.refuse(ctx, r, fasthttp.StatusConflict, 0, "the identifier is that of another team's job")
+	case mesh.TooLarge:
+		a.refuse(ctx, r, fasthttp.StatusRequestEntityTooLarge, 0, reply.Cause)
 	case mesh.Overload:
 		a.refuse(ctx, r, fasthttp.StatusTooManyRequests, max(reply.RetryMs, 1), reply.Cause)
 	case mesh.Undecided:
--- a/agent/intake.go
+++ b/agent/intake.go
@@ -224,6 +224,9 @@
 	if err != nil {
 		return mesh.Reply{Outcome: mesh.NotDone, RetryMs: retryAfterMs, Cause: err.Error()}
 	}
+	if size, limit := h.maxProgressBytes(job), h.agent.settings.Store.RecordBytes; limit > 0 && size > limit {
+		return mesh.Reply{Outcome: mesh.TooLarge, Cause: fmt.Sprintf("progress of the job may take %d bytes in the store, which takes %d in a record", size, limit)}
+	}
 	if admission := h.admit(job); admission.Refused {
 		return mesh.Reply{
 			Outcome: mesh.Overload, RetryMs: admission.RetryAfter.Milliseconds(),
@@ -269,6 +272,12 @@
 	return team, queue, state, known
 }
 
+func (h *Holder) maxProgressBytes(job *work.Job) int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.table.MaxProgressBytes(job)
+}
+
 func (h *Holder) admit(job *work.Job) sched.Admission {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/agent/request.go
+++ b/agent/request.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"fmt"
 	"strconv"
 	"strings"
 	"time"
@@ -83,6 +84,10 @@
 		a.log.Error("job cannot be encoded", zap.Error(err))
 		return r, fasthttp.StatusInternalServerError, "job cannot be encoded"
 	}
+	record := platform.Record{Key: string(job.ID), Value: value}
+	if limit := a.settings.Store.RecordBytes; limit > 0 && record.ContentBytes() > limit {
+		return r, fasthttp.StatusRequestEntityTooLarge, fmt.Sprintf("job takes %d bytes in the store, which takes %d in a record", record.ContentBytes(), limit)
+	}
 	r.request.Job = value
 	return r, 0, ""
 }
--- a/agent/stream.go
+++ b/agent/stream.go
@@ -65,8 +65,31 @@
 	return errors.As(err, &fenced) || errors.As(err, &sequence) || errors.As(err, &tooLong)
 }
 
-// append writes the records and returns the offset of the first, or -1 if the offset is not known because the response was lost. It retries after every error except a platform.FencedError, a platform.KeyTooLongError and an unexplained platform.SequenceError, until the append is known to be written or the context ends.
+// append writes the records, in several appends if they exceed the store's limit for one, and returns the offset of the first, or -1 if it is not known. If it returns an error, some of them may be written.
 func (w *fencedWriter) append(ctx context.Context, records []platform.Record) (int64, error) {
+	first, rest := splitRecords(records, w.agent.settings.Store.RequestBytes)
+	offset, err := w.appendOnce(ctx, first)
+	for err == nil && len(rest) > 0 {
+		first, rest = splitRecords(rest, w.agent.settings.Store.RequestBytes)
+		_, err = w.appendOnce(ctx, first)
+	}
+	return offset, err
+}
+
+// splitRecords returns the first records that fit an append of the given size together, at least one, and the others. A limit of 0 means that there is none.
+func splitRecords(records []platform.Record, limit int) (first, rest []platform.Record) {
+	size := 0
+	for n, r := range records {
+		size += r.Bytes()
+		if n > 0 && limit > 0 && size > limit {
+			return records[:n], records[n:]
+		}
+	}
+	return records, nil
+}
+
+// appendOnce writes the records with one append and returns the offset of the first, or -1 if the offset is not known because the response was lost. It retries after every error except a platform.FencedError, a platform.KeyTooLongError and an unexplained platform.SequenceError, until the append is known to be written or the context ends.
+func (w *fencedWriter) appendOnce(ctx context.Context, records []platform.Record) (int64, error) {
 	attempts := 0
 	for round := 0; ; round++ {
 		began := w.agent.clock.Now()
--- a/mesh/message.go
+++ b/mesh/message.go
@@ -44,11 +44,13 @@
 	NotHolder
 	// Conflict means that the identifier of a submitted job is that of a job of another team. The request had no effect.
 	Conflict
+	// TooLarge means that the job can never be run, because its progress would exceed the store's limit for a record. The request had no effect.
+	TooLarge
 )
 
 // String names the outcome in logs.
 func (o Outcome) String() string {
-	return [...]string{"answered", "unknown", "denied", "notDone", "overload", "undecided", "notHolder", "conflict"}[o]
+	return [...]string{"answered", "unknown", "denied", "notDone", "overload", "undecided", "notHolder", "conflict", "tooLarge"}[o]
 }
 
 // Reply is the reply to a Request. Which fields are set depends on the request's kind and on the outcome.
--- a/sched/flush.go
+++ b/sched/flush.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"strconv"
@@ -83,7 +84,7 @@
 	}
 	for _, j := range b.jobs {
 		j.dirty = false
-		value, err := work.Encode(j.progress())
+		value, err := t.encodeProgress(j)
 		if err != nil {
 			return nil, err
 		}
@@ -108,6 +109,9 @@
 // statsInterval is how often the statistics of runs are recorded; they change slowly.
 const statsInterval = 2 * time.Second
 
+// maxRecordedQueues bounds the record of statistics; queues with fewer runs are left out.
+const maxRecordedQueues = 1000
+
 // flushRunStats adds the statistics of runs to a batch that has other records too.
 func (t *Table) flushRunStats(b *Batch, now time.Duration) error {
 	if len(b.Entries) == 0 || now-t.statsRecordedAt < statsInterval {
@@ -122,6 +126,10 @@
 	if len(record.Queues) == 0 {
 		return nil
 	}
+	if len(record.Queues) > maxRecordedQueues {
+		slices.SortStableFunc(record.Queues, func(a, b work.QueueRunStats) int { return cmp.Compare(b.Runs, a.Runs) })
+		record.Queues = record.Queues[:maxRecordedQueues]
+	}
 	value, err := work.Encode(&record)
 	if err != nil {
 		return err
--- a/sched/table.go
+++ b/sched/table.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"fmt"
 	"sort"
 	"time"
 
@@ -74,6 +75,8 @@
 	// adviceRequests wait to be sent to the advice service.
 	adviceRequests []AdviceRequest
 	deposed        bool
+	// recordLimit is how many bytes the store takes in a record, 0 if it has no limit.
+	recordLimit int
 
 	hosts       map[string]*host
 	sortedHosts []*host
@@ -133,6 +136,9 @@
 	return func(t *Table) { t.hostLimiter = newTokenBucket(perSecond * hostRateShare) }
 }
 
+// WithRecordLimit sets how many bytes the store takes in a record, its key included; 0 means no limit.
+func WithRecordLimit(bytes int) Option { return func(t *Table) { t.recordLimit = bytes } }
+
 // hostRateShare leaves a part of the cloud's rate to the calls of another holder during a takeover.
 const hostRateShare = 0.8
 
@@ -193,6 +199,11 @@
 	if j.invalid {
 		return true
 	}
+	if size := t.MaxProgressBytes(record); t.recordLimit > 0 && size > t.recordLimit {
+		// A process that stored the job without the holder could not tell.
+		t.SetAsideJob(record, fmt.Sprintf("progress may take %d bytes in a record of %d", size, t.recordLimit), now)
+		return true
+	}
 	t.ensurePool(j.queue.Pool).addArrival(record, t.ensureRunStats(j.queue.Name), t.arrivedAt(record, now), now)
 	return true
 }
