An earlier holder's upkeep that may be under way counts for the cap

Cause: a holder records an order for a host before it sends it. A successor reads that record, and waits before it orders the same host, but the order did not count for the wave's cap. If another host had become idle meanwhile, the successor ordered that one at once, and the earlier order could reach the cloud a moment later.

Change: a host whose order for the wave was recorded by an earlier holder and may still reach the cloud has its place in the cap, for the four seconds after which such orders have been carried out or never will be.

--- a/sched/handover.go
+++ b/sched/handover.go
@@ -47,16 +47,21 @@
 	if now < h.notBefore {
 		return false
 	}
+	return (h.lastIssued.Node == t.node && t.node != "") || !t.earlierOrderUnderWay(h, now)
+}
+
+// earlierOrderUnderWay reports whether the host's last order by an earlier holder may still reach the cloud.
+func (t *Table) earlierOrderUnderWay(h *host, now time.Duration) bool {
 	last := h.lastIssued
-	if last.FencingToken == 0 || last.FencingToken == t.token || (last.Node == t.node && t.node != "") {
-		return true
+	if last.FencingToken == 0 || last.FencingToken == t.token {
+		return false
 	}
 	age := max(
 		now-t.fencedAt,
 		t.predecessor.minOrderAge(last.FencingToken, last.IssuedMs, t.processMs(now), now),
 		t.recordedOrderAge(last.FencingToken, last.IssuedMs, now),
 	)
-	return age > t.handoverDelay()
+	return age <= t.handoverDelay()
 }
 
 // maxRecordedClocks is how many targets' clocks are recorded; some of the targets may be gone when a successor reads the record.
--- a/sched/host.go
+++ b/sched/host.go
@@ -284,7 +284,7 @@
 		if o == nil || o.stage != stageDraining || h.State != work.HostUp || !t.mayOrder(h, now) {
 			continue
 		}
-		if o.Wave > 0 && !o.maybeExecuted && t.hostsDown(t.waves[o.Wave]) >= max(t.waves[o.Wave].MaxConcurrent, 1) {
+		if o.Wave > 0 && !o.maybeExecuted && t.hostsDown(t.waves[o.Wave], h, now) >= max(t.waves[o.Wave].MaxConcurrent, 1) {
 			continue
 		}
 		forced := o.Wave > 0 && t.mustForceMaintenance(t.waves[o.Wave], h, now)
@@ -314,18 +314,23 @@
 	}
 }
 
-// hostsDown counts the wave's hosts that are in maintenance or may be away for it.
-func (t *Table) hostsDown(w *waveState) int {
+// hostsDown counts the wave's hosts, apart from the given one, that are in maintenance or may be away for it by an order of this or an earlier holder.
+func (t *Table) hostsDown(w *waveState, except *host, now time.Duration) int {
 	n := 0
 	for _, name := range w.Hosts {
 		h, ok := t.hosts[name]
-		if !ok {
+		if !ok || h == except {
 			continue
 		}
 		ordered := h.order != nil && h.order.Wave == w.Number && (h.order.stage != stageDraining || h.order.maybeExecuted)
-		if ordered || h.State == work.HostMaintenance {
+		if ordered || t.hasInheritedOrder(w, h, now) || h.State == work.HostMaintenance {
 			n++
 		}
 	}
 	return n
 }
+
+// hasInheritedOrder reports whether an earlier holder's order for the host's maintenance may still reach the cloud.
+func (t *Table) hasInheritedOrder(w *waveState, h *host, now time.Duration) bool {
+	return h.lastIssued.Wave == w.Number && !w.begun[h.Name] && t.earlierOrderUnderWay(h, now)
+}
--- a/sched/wave.go
+++ b/sched/wave.go
@@ -35,16 +35,22 @@
 	}
 	left := t.hostsAwaitingMaintenance(w)
 	if len(left) == 0 {
-		if t.hostsDown(w) == 0 && t.missingHostsGone(w, now) {
+		if t.hostsDown(w, nil, now) == 0 && t.missingHostsGone(w, now) {
 			w.completed, w.dirty = true, true
 			t.logEvent("waveCompleted", orderName(HostOrder{Wave: w.Number}), "all hosts have begun maintenance", "")
 		}
 		return
 	}
-	allowance := max(w.MaxConcurrent, 1) - t.hostsDown(w)
+	allowance := max(w.MaxConcurrent, 1) - t.hostsDown(w, nil, now)
 	for _, h := range left {
+		switch {
+		case t.hasInheritedOrder(w, h, now):
+			// The host has its place in the wave's cap already.
+			if h.canBeginDrain(now) {
+				t.beginDrain(w, h, now)
+			}
 		// An order that may have been executed is among those that hostsDown counts.
-		if h.order != nil && h.order.Wave == w.Number && h.order.stage == stageDraining && !h.order.maybeExecuted {
+		case h.order != nil && h.order.Wave == w.Number && h.order.stage == stageDraining && !h.order.maybeExecuted:
 			allowance--
 		}
 	}
