A list that leaves out a host in maintenance does not drop its order

Cause: a host that one list of the cloud lacks was dropped with its order, and no longer counted as down.

--- a/sched/host.go
+++ b/sched/host.go
@@ -60,7 +60,9 @@
 type host struct {
 	work.Host
 	listedAt time.Duration
-	order    *pendingOrder
+	// missingSince is when the first host list that lacks the host was requested, 0 while the lists show it.
+	missingSince time.Duration
+	order        *pendingOrder
 	// lastIssued is the host's last order by any holder. An order of this holder is set here when it is issued, before its record is written.
 	lastIssued work.HostOrderRecord
 	// idleSince is when the host became idle, 0 while it runs something.
--- a/sched/hostlist.go
+++ b/sched/hostlist.go
@@ -8,7 +8,7 @@
 	"lavenderwing.example/lavenderwing/work"
 )
 
-// ApplyHostList applies the cloud's host list that was requested at the given time.
+// ApplyHostList applies the cloud's host list that was requested at the given time. A list that leaves out a host which may be away for an order does not show that it is gone.
 func (t *Table) ApplyHostList(list []work.Host, sent, now time.Duration) {
 	present := make(map[string]bool, len(list))
 	for i := range list {
@@ -16,7 +16,14 @@
 		t.applyHost(&list[i], sent, now)
 	}
 	for name, h := range t.hosts {
-		if !present[name] {
+		switch {
+		case present[name]:
+			h.missingSince = 0
+		case !h.isOrderedAway():
+			t.removeHost(h, now)
+		case h.missingSince == 0:
+			h.missingSince = sent
+		case sent-h.missingSince >= goneHostDelay:
 			t.removeHost(h, now)
 		}
 	}
