A reply from a target's former address does not end the target

Cause: a target that starts again at another address gets a new driver. A call of the former one that was under way then was answered with 421 by the process that has the former address, and the table ended the target at its new address and started its runs elsewhere.

Change: such a reply is dropped, and a start that got it is sent to the present address.

Evidence: TestReplyFromAFormerAddressDoesNotEndTheTarget failed before.

--- a/agent/driver.go
+++ b/agent/driver.go
@@ -149,9 +149,12 @@
 	h := d.holder
 	now := h.agent.clock.Now()
 	d.applyReply("renewal's reply", func() {
-		if err != nil {
+		switch {
+		case err != nil:
 			h.table.CallUnanswered(d.id, now)
-		} else {
+		case reply.Status == work.OrderWrongTarget && d.isReplaced():
+			// Another target has the former address, which says nothing about this one.
+		default:
 			h.table.RenewalAnswered(d.id, reply, r.AcknowledgedEnd, sent, now)
 		}
 	})
@@ -173,6 +176,12 @@
 	}
 }
 
+// isReplaced reports whether the target has another address by now; the caller holds the holder's lock.
+func (d *driver) isReplaced() bool {
+	present, ok := d.holder.drivers[d.id]
+	return ok && present != d
+}
+
 // applyReply applies a reply of the target to the table. If this program cannot handle it, the target is set aside, so that its replies do not end one process after the other.
 func (d *driver) applyReply(kind string, apply func()) {
 	h := d.holder
@@ -365,6 +374,11 @@
 		now = h.agent.clock.Now()
 		switch o := o.(type) {
 		case sched.StartOrder:
+			if reply.Status == work.OrderWrongTarget && d.isReplaced() {
+				// The target has not received the start, which goes to its present address.
+				h.drivers[d.id].enqueue(o)
+				return
+			}
 			h.table.StartAnswered(o, reply, now)
 		case sched.StopOrder:
 			h.table.StopAnswered(o, reply, now)
--- a/agent/driver_test.go
+++ b/agent/driver_test.go
@@ -49,3 +49,20 @@
 	}
 	is.Equal(sent, []work.TargetID{"2", "4", "1", "3"})
 }
+
+// TestReplyFromAFormerAddressDoesNotEndTheTarget guards against runs that are started elsewhere while they go on, because the process that has the target's former address answers a call that was meant for it.
+func TestReplyFromAFormerAddressDoesNotEndTheTarget(t *testing.T) {
+	is := is.New(t)
+	_, h := newTestAgent(t)
+	h.table.Configure(&work.Config{Version: 1, Pools: []work.Pool{{Name: "p"}}})
+	h.table.UpsertTarget(work.Target{ID: "i-1", Pool: "p", Address: "new", Capacity: work.Resources{CPU: 1000, MemMB: 100}, StartedMs: 2}, 0)
+	former, present := newDriver(h, "i-1", "former"), newDriver(h, "i-1", "new")
+	h.drivers["i-1"] = present
+	former.close()
+	wrong := work.RenewalReply{Status: work.OrderWrongTarget}
+	former.applyRenewal(&sched.Renewal{}, wrong, nil, 0)
+	is.Equal(len(h.table.Targets()), 1) // the target is called on
+	present.close()
+	present.applyRenewal(&sched.Renewal{}, wrong, nil, 0)
+	is.Equal(len(h.table.Targets()), 0) // its own address belongs to another one
+}
