--- a/accept/listener_test.go
+++ b/accept/listener_test.go
@@ -25,7 +25,7 @@
 	return step()
 }
 
-// TestListenerOutlivesFailedAccepts guards against a server that ends for good at the first failed accept, while its process goes on and counts as ready.
+// TestListenerOutlivesFailedAccepts guards against a server that stops serving at the first failed accept, while its process goes on and counts as ready.
 func TestListenerOutlivesFailedAccepts(t *testing.T) {
 	is := is.New(t)
 	client, server := net.Pipe()
--- a/agent/past.go
+++ b/agent/past.go
@@ -61,7 +61,7 @@
 	return work.Decode(r.Value, &progress) == nil && sched.HasExpired(&progress, p.retention, p.nowMs)
 }
 
-// filterJobs keeps the records that are not of past jobs. It waits until the progress of the page's jobs has been read, as far as the order of the keys tells; what it keeps too much is left out when all has been read.
+// filterJobs keeps the records that are not of past jobs. It waits until the progress of the page's jobs has been read, on the assumption that pages follow the order of keys. Past jobs that it keeps nevertheless are left out once all progress has been read.
 func (p *pastJobs) filterJobs(page []platform.Record, pages *platform.NewestPages) []platform.Record {
 	p.mu.Lock()
 	defer p.mu.Unlock()
