Show that an incomplete entry of another writer makes work run twice

Cause: an entry of the targets' topic that lacks several of its fields counts as an executor's own, and one with a known address and a later start makes the executor there count as gone.

--- /dev/null
+++ b/review/standin2/judge.go
@@ -0,0 +1,90 @@
+//go:build review2
+
+package main
+
+import (
+	"fmt"
+	"sync"
+)
+
+// judge checks what the executors run, by the rules that the scripts name.
+type judge struct {
+	rec *record
+
+	mu sync.Mutex
+	// running holds where each work item runs: the executor's id by run.
+	running map[string]map[int]string
+	// failed and startedJobs count runs that ended failed and jobs that were started.
+	failed map[string]int
+	starts map[string]int
+	// services maps a job to the service whose executors may run it, and names are the ids of executors that may be used.
+	services map[string]string
+}
+
+func newJudge(rec *record) *judge {
+	return &judge{rec: rec, running: map[string]map[int]string{}, failed: map[string]int{}, starts: map[string]int{}, services: map[string]string{}}
+}
+
+func (j *judge) started(task string, n int, e *executor, o *order) {
+	j.rec.add("%s run %d starts on %s (fencing token %d, spec %q)", task, n, e.id, o.Token, o.Spec)
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	for other, id := range j.running[task] {
+		j.rec.violate("TWICE: %s runs as run %d on %s and as run %d on %s at the same time, both executors are up", task, other, id, n, e.id)
+	}
+	if j.running[task] == nil {
+		j.running[task] = map[int]string{}
+	}
+	j.running[task][n] = e.id
+	j.starts[jobOf(task)]++
+}
+
+func (j *judge) ended(task string, n int, id, how string) {
+	j.rec.add("%s run %d on %s ends: %s", task, n, id, how)
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	delete(j.running[task], n)
+	if how == "failed" {
+		j.failed[jobOf(task)]++
+	}
+}
+
+func (j *judge) noted(task string, n int) { j.rec.add("end of %s run %d is acknowledged", task, n) }
+
+// activeRuns returns how many runs of a job are active.
+func (j *judge) activeRuns(job string) int {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	n := 0
+	for task, runs := range j.running {
+		if jobOf(task) == job {
+			n += len(runs)
+		}
+	}
+	return n
+}
+
+func (j *judge) startCount(job string) int {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.starts[job]
+}
+
+func (j *judge) failedCount(job string) int {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.failed[job]
+}
+
+func (j *judge) where(task string) string {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	for _, id := range j.running[task] {
+		return id
+	}
+	return ""
+}
+
+func jobOf(task string) string { return task[:16] }
+
+func itemName(job string, step, index int) string { return fmt.Sprintf("%s.0.%d.%d", job, step, index) }
