Show that a successor completes a wave without its added machines

Cause: a follower keeps only the first record of a wave and passes it on when it becomes the holder.

--- a/review/standin2/executor.go
+++ b/review/standin2/executor.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"sort"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -33,6 +34,7 @@
 	Ack        int64  `json:"ack_seq"`
 	WaitMs     int64  `json:"wait_ms"`
 	Percent    int    `json:"percent"`
+	Ticket     string `json:"ticket"`
 }
 
 // run is a run of a work item. Its work takes the time that the spec names.
@@ -44,8 +46,96 @@
 	measured time.Time
 	percent  int
 	stopAt   time.Time
+	// gang is the number of members of the gang, 0 for a run by itself.
+	gang int
+	cpu  int64
 }
 
+// gangKey names one run of a gang.
+type gangKey struct {
+	step string
+	run  int
+}
+
+// gang is one run of a gang: its members work only while all of them are present.
+type gang struct {
+	size    int
+	present map[string]bool
+	left    time.Duration
+	worked  time.Time
+	began   bool
+	broken  bool
+	done    bool
+}
+
+// gangs are the gangs of all executors.
+type gangs struct {
+	mu  sync.Mutex
+	all map[gangKey]*gang
+}
+
+func newGangs() *gangs { return &gangs{all: map[gangKey]*gang{}} }
+
+func gangKeyOf(task string, n int) gangKey {
+	return gangKey{task[:strings.LastIndexByte(task, '.')], n}
+}
+
+// join adds a member.
+func (g *gangs) join(task string, n, size int, left time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	key := gangKeyOf(task, n)
+	x := g.all[key]
+	if x == nil {
+		x = &gang{size: size, present: map[string]bool{}, left: left}
+		g.all[key] = x
+	}
+	x.present[task] = true
+	if len(x.present) == x.size && !x.broken {
+		x.began, x.worked = true, time.Now()
+	}
+}
+
+// leave removes a member that ended by itself.
+func (g *gangs) leave(task string, n int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	x := g.all[gangKeyOf(task, n)]
+	if x == nil || x.done {
+		return
+	}
+	delete(x.present, task)
+	x.broken = x.broken || x.began
+}
+
+// step lets a gang work, and returns how a member ends now, or an empty text.
+func (g *gangs) step(task string, n int, started time.Time) string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	x := g.all[gangKeyOf(task, n)]
+	now := time.Now()
+	switch {
+	case x == nil || x.broken:
+		return "broken"
+	case x.done:
+		return "done"
+	case !x.began && now.Sub(started) > gangTimeout:
+		delete(x.present, task)
+		return "alone"
+	case x.began:
+		x.left -= now.Sub(x.worked)
+		x.worked = now
+		if x.left <= 0 {
+			x.done = true
+			return "done"
+		}
+	}
+	return ""
+}
+
+// gangTimeout is gang_timeout_ms in the settings.
+const gangTimeout = 3 * time.Second
+
 type end struct {
 	n    int64
 	task string
@@ -58,6 +148,8 @@
 	rec     *record
 	store   *stage.Store
 	judge   *judge
+	gangs   *gangs
+	advisor *advisor
 	address string
 	service string
 	machine string
@@ -65,11 +157,15 @@
 	cpu     int64
 	memMB   int64
 
-	mu       sync.Mutex
-	id       string
-	lives    int
+	mu    sync.Mutex
+	id    string
+	lives int
+	boots int
+	// keepID means that the executor starts again under its former id.
+	keepID   bool
 	born     time.Time
 	up       bool
+	upkeep   bool
 	draining bool
 	token    int64
 	leaseMs  int64
@@ -93,13 +189,19 @@
 	}
 	e.mu.Lock()
 	e.lives++
+	if e.keepID && e.id != "" {
+		e.lives--
+		e.boots++
+	} else {
+		e.boots++
+	}
 	e.id = fmt.Sprintf("i-%s-%d", e.machine, e.lives)
-	e.born, e.up, e.token, e.leaseMs, e.lastEnd = time.Now(), true, 0, 0, 0
+	e.born, e.up, e.upkeep, e.token, e.leaseMs, e.lastEnd = time.Now(), true, false, 0, 0, 0
 	e.runs, e.highest, e.ended, e.changed = map[string]*run{}, map[string]int{}, nil, make(chan struct{})
 	mux := http.NewServeMux()
 	mux.HandleFunc("/", e.serve)
 	e.server = &http.Server{Handler: mux}
-	server, life := e.server, e.lives
+	server, life := e.server, e.boots
 	e.mu.Unlock()
 	go func() {
 		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
@@ -120,6 +222,9 @@
 	tasks := []string{}
 	for task, r := range e.runs {
 		tasks = append(tasks, fmt.Sprintf("%s run %d", task, r.run))
+		if r.gang > 0 {
+			e.gangs.leave(task, r.run)
+		}
 		e.judge.ended(task, r.run, id, "lost with its executor")
 	}
 	sort.Strings(tasks)
@@ -139,6 +244,28 @@
 	return e.id
 }
 
+// addLabel gives the executor one more label.
+func (e *executor) addLabel(label string) {
+	e.mu.Lock()
+	e.labels = append(e.labels, label)
+	e.mu.Unlock()
+	e.report()
+}
+
+// setFault sets what may take calls over.
+func (e *executor) setFault(fault func(path string, o *order, carryOut func()) bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.fault = fault
+}
+
+// setQuiet sets whether starts are kept from the script's own check.
+func (e *executor) setQuiet(quiet bool) {
+	e.judge.mu.Lock()
+	defer e.judge.mu.Unlock()
+	e.judge.quiet = quiet
+}
+
 // forget removes the entry of a former life, as the platform does after three intervals of silence.
 func (e *executor) forget(id string) { e.store.Put("servers", id, nil) }
 
@@ -169,15 +296,22 @@
 	for {
 		time.Sleep(5 * time.Millisecond)
 		e.mu.Lock()
-		if !e.up || e.lives != life {
+		if !e.up || e.boots != life {
 			e.mu.Unlock()
 			return
 		}
 		now := time.Now()
 		for _, r := range e.runs {
-			r.left -= now.Sub(r.measured) * time.Duration(r.percent) / 100
+			how := ""
+			if r.gang > 0 {
+				how = e.gangs.step(r.task, r.run, r.started)
+			} else {
+				r.left -= now.Sub(r.measured) * time.Duration(r.percent) / 100
+			}
 			r.measured = now
 			switch {
+			case how != "":
+				e.endRun(r, how)
 			case !r.stopAt.IsZero() && now.After(r.stopAt):
 				e.endRun(r, "stopped")
 			case e.clockMs() > e.leaseMs:
@@ -197,6 +331,9 @@
 // endRun ends a run; the caller holds the lock.
 func (e *executor) endRun(r *run, how string) {
 	delete(e.runs, r.task)
+	if r.gang > 0 {
+		e.gangs.leave(r.task, r.run)
+	}
 	e.lastEnd++
 	e.ended = append(e.ended, end{e.lastEnd, r.task, r.run, how})
 	e.judge.ended(r.task, r.run, e.id, how)
@@ -218,7 +355,7 @@
 		return
 	}
 	path := req.URL.Path
-	if fault != nil && fault(path, &o, func() { e.carryOut(path, &o) }) {
+	if fault != nil && fault(path, &o, func() { e.carryOutLate(path, &o, id) }) {
 		// No answer: the connection is closed after the caller has given up.
 		time.Sleep(2 * time.Second)
 		panic(http.ErrAbortHandler)
@@ -283,6 +420,13 @@
 	return map[string]any{"clock_ms": e.clockMs(), "born": e.born.UnixMilli(), "running": running, "finished": finished}
 }
 
+// carryOutLate carries a call out that got no answer, unless the executor has another name by now.
+func (e *executor) carryOutLate(path string, o *order, id string) {
+	if e.name() == id {
+		e.carryOut(path, o)
+	}
+}
+
 // carryOut does what a call asks for.
 func (e *executor) carryOut(path string, o *order) (int, map[string]any) {
 	e.mu.Lock()
@@ -320,10 +464,27 @@
 			return refuse("old")
 		case o.DeadlineMs < e.clockMs():
 			return refuse("late")
+		case strings.HasPrefix(o.Task, advisedPrefix) && !e.advisor.valid(o.Ticket, o.Task, e.id, e.boots):
+			e.rec.add("%s run %d is refused on %s for its ticket %q", o.Task, o.Run, e.id, o.Ticket)
+			return refuse("ticket")
 		}
 		e.highest[o.Task] = o.Run
 		now := time.Now()
-		e.runs[o.Task] = &run{task: o.Task, run: o.Run, started: now, measured: now, left: workOf(o.Spec), percent: 100}
+		r = &run{
+			task: o.Task, run: o.Run, started: now, measured: now, percent: 100,
+			left: time.Duration(specNumber(o.Spec, "work", 1000)) * time.Millisecond, gang: int(specNumber(o.Spec, "gang", 0)), cpu: specNumber(o.Spec, "cpu", 1000),
+		}
+		used := r.cpu
+		for _, other := range e.runs {
+			used += other.cpu
+		}
+		if used > e.cpu {
+			e.rec.violate("LIMIT: %s brings %s to %d of %d millicores", o.Task, e.id, used, e.cpu)
+		}
+		e.runs[o.Task] = r
+		if r.gang > 0 {
+			e.gangs.join(o.Task, o.Run, r.gang, r.left)
+		}
 		e.judge.started(o.Task, o.Run, e, o)
 	case "/run-stop":
 		if r := e.runs[o.Task]; r != nil && r.run <= o.Run && r.stopAt.IsZero() {
@@ -339,13 +500,14 @@
 	return http.StatusOK, answer
 }
 
-// workOf returns how long the work of an item takes, as its spec says: work=MILLISECONDS.
-func workOf(spec string) time.Duration {
-	var ms int64
+// specNumber returns the number that a spec gives under a name, as in work=800.
+func specNumber(spec, name string, missing int64) int64 {
 	for _, word := range strings.Fields(spec) {
-		if _, err := fmt.Sscanf(word, "work=%d", &ms); err == nil {
-			return time.Duration(ms) * time.Millisecond
+		if text, ok := strings.CutPrefix(word, name+"="); ok {
+			if n, err := strconv.ParseInt(text, 10, 64); err == nil {
+				return n
+			}
 		}
 	}
-	return time.Second
+	return missing
 }
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -25,6 +25,9 @@
 var scenarios = map[string]func(rec *record, dir string, trouble bool) (bool, error){
 	"entry":   playEntry,
 	"crashes": playCrashes,
+	"wave":    playWave,
+	"soak":    playSoak,
+	"drain":   playDrain,
 }
 
 func main() { os.Exit(play()) }
--- a/review/standin2/site.go
+++ b/review/standin2/site.go
@@ -6,6 +6,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"hash/crc32"
 	"io"
 	"net"
 	"net/http"
@@ -23,13 +24,20 @@
 type site struct {
 	rec       *record
 	judge     *judge
+	gangs     *gangs
 	dir       string
 	store     *stage.Store
 	cloud     string
+	advice    string
+	advisor   *advisor
 	executors []*executor
 	fronts    []string
 	processes []*exec.Cmd
 	ended     sync.WaitGroup
+
+	mu sync.Mutex
+	// upkept holds the machines whose upkeep has begun.
+	upkept map[string]bool
 }
 
 // freePort returns a free port on a loopback address.
@@ -43,16 +51,19 @@
 }
 
 const (
-	platformIP = "127.0.0.1"
-	queueHost  = "pule25.example"
-	queuePath  = "/puxa400/"
-	apiKey     = "key-1"
-	service    = "corte"
+	platformIP  = "127.0.0.1"
+	queueHost   = "pule25.example"
+	queuePath   = "/puxa400/"
+	advisedPath = "/zimo77/"
+	// advisedPrefix begins the ids of the jobs of the advised queue.
+	advisedPrefix = "ad"
+	apiKey        = "key-1"
+	service       = "corte"
 )
 
 // newSite starts a store, a cloud and executors, and writes the first configuration.
 func newSite(rec *record, dir string, executors int, cpu int64) (*site, error) {
-	s := &site{rec: rec, judge: newJudge(rec), dir: dir}
+	s := &site{rec: rec, judge: newJudge(rec), gangs: newGangs(), dir: dir, upkept: map[string]bool{}}
 	address, err := freePort(platformIP)
 	if err != nil {
 		return nil, err
@@ -63,6 +74,9 @@
 	if err := s.startCloud(); err != nil {
 		return nil, err
 	}
+	if err := s.startAdvisor(); err != nil {
+		return nil, err
+	}
 	s.configure(1, 4)
 	for n := range executors {
 		address, err := freePort(platformIP)
@@ -71,7 +85,7 @@
 		}
 		e := &executor{
 			rec: rec, store: s.store, judge: s.judge, address: address, service: service, machine: fmt.Sprintf("m%d", n),
-			labels: []string{"a", fmt.Sprintf("r%d", n/4)}, cpu: cpu, memMB: 32768,
+			labels: []string{"a", fmt.Sprintf("r%d", n/4)}, cpu: cpu, memMB: 32768, gangs: s.gangs, advisor: s.advisor,
 		}
 		s.executors = append(s.executors, e)
 		if err := e.start(); err != nil {
@@ -85,10 +99,17 @@
 func (s *site) configure(version, maxAttempts int) {
 	value, err := json.Marshal(map[string]any{
 		"version": version,
-		"routes": []any{map[string]any{
-			"name": "r-cut", "host": queueHost, "path_prefix": queuePath, "service": service, "priority": 0, "max_attempts": maxAttempts,
-			"slack_factor": 3.0, "target_duration_ms": 600, "timeout_ms": 3000,
-		}},
+		"routes": []any{
+			map[string]any{
+				"name": "r-cut", "host": queueHost, "path_prefix": queuePath, "service": service, "priority": 0, "max_attempts": maxAttempts,
+				"slack_factor": 3.0, "target_duration_ms": 600, "timeout_ms": 3000,
+			},
+			map[string]any{
+				"name": "r-advised", "host": queueHost, "path_prefix": advisedPath, "service": service, "priority": 0, "max_attempts": maxAttempts,
+				"slack_factor": 3.0, "target_duration_ms": 600, "timeout_ms": 3000,
+				"recommendation": map[string]any{"decision_ms": 20, "period_ms": 2, "validity_ms": ticketValidity.Milliseconds()},
+			},
+		},
 		"services": []any{map[string]any{"name": service, "enforces_capacity": false}},
 		"tenants":  []any{map[string]any{"name": "t1", "api_keys": []string{apiKey}, "weight": 1.0, "cap": map[string]int64{"cpu": 0, "mem_mb": 0, "gpus": 0}}},
 		"limits":   map[string]int{"max_body_bytes": 262144},
@@ -98,7 +119,38 @@
 	}
 }
 
-// startCloud serves the list of machines; orders for machines are refused as busy.
+// upkeepTime is how long a machine is away for its upkeep, maintenance_s in the settings.
+const upkeepTime = 2 * time.Second
+
+// startUpkeep carries out an order for a machine's upkeep: everything that runs there ends, and a new executor follows.
+func (s *site) startUpkeep(machine string, wave int64) bool {
+	for _, e := range s.executors {
+		e.mu.Lock()
+		mine, up, id := e.machine == machine, e.up, e.id
+		if mine && up {
+			e.upkeep = true
+		}
+		e.mu.Unlock()
+		if !mine || !up {
+			continue
+		}
+		s.rec.add("upkeep of %s for wave %d begins", machine, wave)
+		s.mu.Lock()
+		s.upkept[machine] = true
+		s.mu.Unlock()
+		e.crash()
+		time.AfterFunc(upkeepTime, func() {
+			e.forget(id)
+			if err := e.start(); err != nil {
+				s.rec.add("executor %s does not come back: %v", machine, err)
+			}
+		})
+		return true
+	}
+	return false
+}
+
+// startCloud serves the list of machines and carries out upkeep; moves are refused as busy.
 func (s *site) startCloud() error {
 	l, err := net.Listen("tcp4", platformIP+":0")
 	if err != nil {
@@ -111,7 +163,10 @@
 		for _, e := range s.executors {
 			e.mu.Lock()
 			state := "up"
-			if !e.up {
+			switch {
+			case e.upkeep:
+				state = "upkeep"
+			case !e.up:
 				state = "down"
 			}
 			machines = append(machines, map[string]any{
@@ -122,6 +177,17 @@
 		}
 		_ = json.NewEncoder(w).Encode(map[string]any{"machines": machines, "next_token": ""})
 	})
+	mux.HandleFunc("/machine-upkeep", func(w http.ResponseWriter, r *http.Request) {
+		var o struct {
+			Machine string `json:"machine"`
+			Wave    int64  `json:"wave"`
+		}
+		if json.NewDecoder(r.Body).Decode(&o) == nil && s.startUpkeep(o.Machine, o.Wave) {
+			return
+		}
+		w.WriteHeader(http.StatusConflict)
+		_, _ = io.WriteString(w, `{"reason":"busy"}`)
+	})
 	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
 		s.rec.add("cloud gets %s", r.URL.Path)
 		w.WriteHeader(http.StatusConflict)
@@ -131,6 +197,69 @@
 	return nil
 }
 
+// ticketValidity is validity_ms of the advised queue.
+const ticketValidity = 3 * time.Second
+
+// advisor says which executors may run a step, and remembers its tickets.
+type advisor struct {
+	mu      sync.Mutex
+	tickets map[string]time.Time
+	calls   int
+}
+
+// startAdvisor serves advice: half of the executors may run a step.
+func (s *site) startAdvisor() error {
+	l, err := net.Listen("tcp4", platformIP+":0")
+	if err != nil {
+		return err
+	}
+	s.advice = l.Addr().String()
+	s.advisor = &advisor{tickets: map[string]time.Time{}}
+	var turn sync.Mutex
+	mux := http.NewServeMux()
+	mux.HandleFunc("/advise", func(w http.ResponseWriter, r *http.Request) {
+		var o struct {
+			Step    string   `json:"step"`
+			Workers []string `json:"workers"`
+		}
+		if json.NewDecoder(r.Body).Decode(&o) != nil {
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+		turn.Lock()
+		time.Sleep(time.Duration(20+2*len(o.Workers)) * time.Millisecond)
+		turn.Unlock()
+		allowed := [][]string{}
+		s.advisor.mu.Lock()
+		s.advisor.calls++
+		for _, id := range o.Workers {
+			for _, e := range s.executors {
+				e.mu.Lock()
+				mine, boots := e.id == id, e.boots
+				e.mu.Unlock()
+				if mine && (crc32.ChecksumIEEE([]byte(o.Step+e.machine))&1 == 0 || e.machine == "m0") {
+					ticket := fmt.Sprintf("%s/%s/%d/%d", o.Step, id, boots, s.advisor.calls)
+					s.advisor.tickets[ticket] = time.Now().Add(ticketValidity)
+					allowed = append(allowed, []string{id, ticket})
+				}
+			}
+		}
+		s.advisor.mu.Unlock()
+		_ = json.NewEncoder(w).Encode(map[string]any{"allowed": allowed, "validity_ms": ticketValidity.Milliseconds()})
+	})
+	go func() { _ = http.Serve(l, mux) }()
+	return nil
+}
+
+// valid reports whether a ticket holds for an item on a life of an executor.
+func (a *advisor) valid(ticket, task, id string, boots int) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	until, ok := a.tickets[ticket]
+	step := task[:strings.LastIndexByte(task, '.')]
+	return ok && time.Now().Before(until) && strings.HasPrefix(ticket, fmt.Sprintf("%s/%s/%d/", step, id, boots))
+}
+
 // startProcesses starts the program with the command of the deploy file, each process on an IP address of its own.
 func (s *site) startProcesses(count int) error {
 	for n := range count {
@@ -153,27 +282,47 @@
 		if err := os.WriteFile(path, []byte(s.settings(fmt.Sprintf("edge-zone-a-%d", n+1), ip, front, ready, port)), 0o600); err != nil {
 			return err
 		}
-		log, err := os.Create(filepath.Join(s.dir, fmt.Sprintf("log-%d", n)))
+		c, err := s.startProcess(n)
 		if err != nil {
 			return err
 		}
-		c := exec.Command("target/lavenderwing", "node", "-metrics", "9187")
-		c.Env = append(os.Environ(), "LAVENDERWING_BOOT="+path)
-		c.Stdout, c.Stderr = log, log
-		if err := c.Start(); err != nil {
-			return err
-		}
-		startedProcesses.add(c)
 		s.processes = append(s.processes, c)
-		s.ended.Add(1)
-		go func() {
-			defer s.ended.Done()
-			_ = c.Wait()
-		}()
 	}
 	return s.awaitReady()
 }
 
+// startProcess starts a process with the command of the deploy file.
+func (s *site) startProcess(n int) (*exec.Cmd, error) {
+	log, err := os.OpenFile(filepath.Join(s.dir, fmt.Sprintf("log-%d", n)), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return nil, err
+	}
+	c := exec.Command("target/lavenderwing", "node", "-metrics", "9187")
+	c.Env = append(os.Environ(), "LAVENDERWING_BOOT="+filepath.Join(s.dir, fmt.Sprintf("settings-%d.toml", n)))
+	c.Stdout, c.Stderr = log, log
+	if err := c.Start(); err != nil {
+		return nil, err
+	}
+	startedProcesses.add(c)
+	s.ended.Add(1)
+	go func() {
+		defer s.ended.Done()
+		_ = c.Wait()
+	}()
+	return c, nil
+}
+
+// restartProcess kills a process and starts it again after a time.
+func (s *site) restartProcess(n int, down time.Duration) error {
+	_ = s.processes[n].Process.Kill()
+	time.Sleep(down)
+	c, err := s.startProcess(n)
+	if err == nil {
+		s.processes[n] = c
+	}
+	return err
+}
+
 func (s *site) settings(node, ip, front, ready, port string) string {
 	return fmt.Sprintf(`node = %q
 role = "entry"
@@ -187,6 +336,7 @@
 bootstrap = true
 heartbeat_ms = 1500
 commands = "rpc"
+recommendation = %q
 contracts = ["base","drain","config","cost","recover","sched","tenants","quota","platform","advice","upkeep","sharing"]
 [listen]
 front = %q
@@ -236,7 +386,7 @@
 address = %q
 rate_per_s = 64.0
 duty_per_s = 64.0
-`, node, ip, port, port, front, ready, s.store.Address, s.cloud)
+`, node, ip, port, port, s.advice, front, ready, s.store.Address, s.cloud)
 }
 
 // awaitReady waits until all processes answer for the queue.
@@ -260,7 +410,11 @@
 
 // call sends a caller's request and returns the status, 0 without an answer, and the body.
 func (s *site) call(front, method, id string, body []byte) (int, string) {
-	req, err := http.NewRequest(method, "http://"+front+queuePath+id, bytes.NewReader(body))
+	path := queuePath
+	if strings.HasPrefix(id, advisedPrefix) {
+		path = advisedPath
+	}
+	req, err := http.NewRequest(method, "http://"+front+path+id, bytes.NewReader(body))
 	if err != nil {
 		return 0, ""
 	}
@@ -297,6 +451,48 @@
 	return false
 }
 
+// writeWave writes a wave as operators do.
+func (s *site) writeWave(number, limit int, deadline float64, machines []string) {
+	value, err := json.Marshal(map[string]any{"wave": number, "machines": machines, "deadline_s": deadline, "cap": limit})
+	if err == nil {
+		s.rec.add("operator writes op/wave/%d: %s", number, value)
+		s.store.Put("op", fmt.Sprintf("wave/%d", number), value)
+	}
+}
+
+// waveState returns the state of a wave that the system has told operators.
+func (s *site) waveState(number int) string {
+	var status struct {
+		State string `json:"state"`
+	}
+	_ = json.Unmarshal(s.store.Get("status", fmt.Sprintf("wave/%d", number)), &status)
+	return status.State
+}
+
+// missingUpkeep returns the machines whose upkeep has not begun.
+func (s *site) missingUpkeep(machines []string) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var missing []string
+	for _, m := range machines {
+		if !s.upkept[m] {
+			missing = append(missing, m)
+		}
+	}
+	return missing
+}
+
+// holder returns the index of the process whose claim is the newest, or -1.
+func (s *site) holder() int {
+	value := s.store.Get("lead", "holder")
+	for n := range s.processes {
+		if bytes.Contains(value, []byte(fmt.Sprintf("edge-zone-a-%d", n+1))) {
+			return n
+		}
+	}
+	return -1
+}
+
 // state returns the state that a process shows of a job.
 func (s *site) state(front, id string) (int, string) {
 	status, text := s.call(front, http.MethodGet, id, nil)
