--- a/review/standin2/site.go
+++ b/review/standin2/site.go
@@ -34,6 +34,8 @@
 	mu sync.Mutex
 	// upkept holds the machines whose upkeep has begun.
 	upkept map[string]bool
+	// crashing holds the ids of executors that crash or have crashed by the script.
+	crashing map[string]bool
 }
 
 // freePort returns a free port on a loopback address.
@@ -56,7 +58,7 @@
 
 // newSite starts a store, a cloud and executors, and writes the first configuration.
 func newSite(rec *record, dir string, executors int, cpu int64) (*site, error) {
-	s := &site{rec: rec, judge: newJudge(rec), dir: dir, upkept: map[string]bool{}}
+	s := &site{rec: rec, judge: newJudge(rec), dir: dir, upkept: map[string]bool{}, crashing: map[string]bool{}}
 	address, err := freePort(platformIP)
 	if err != nil {
 		return nil, err
