Let operators turn off parts of the scheduling

Cause: learned run times, shedding, preemption, target speeds and the forecast of peaks are about to be added, and an operator has to be able to turn each off. Change: work.Features, passed from lavenderwing node -disable to the table. Result: go test ./work ./cmds passes; nothing reads the features yet.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -52,6 +52,7 @@
 // Agent runs the process on one entry host.
 type Agent struct {
 	settings work.Settings
+	features work.Features
 	log      *zap.Logger
 	clock    *clock
 	store    *platform.StoreClient
@@ -140,6 +141,9 @@
 	}
 }
 
+// WithFeatures sets which parts of the scheduling are on; all are by default.
+func WithFeatures(f work.Features) Option { return func(a *Agent) { a.features = f } }
+
 // WithLogger sets the logger.
 func WithLogger(l *zap.Logger) Option { return func(a *Agent) { a.log = l } }
 
--- a/agent/holder.go
+++ b/agent/holder.go
@@ -90,7 +90,7 @@
 		agent: a, epoch: epoch, wake: make(chan struct{}, 1),
 		table: sched.New(a.settings.Bounds, sched.WithToken(epoch, a.clock.Now()), sched.WithNode(a.settings.Node),
 			sched.WithPredecessor(a.predecessor), sched.WithProcessOrigin(a.clock.startWallMs),
-			sched.WithHostRate(a.settings.Cloud.ActionsPerS), sched.WithRecordLimit(a.settings.Store.RecordBytes)),
+			sched.WithHostRate(a.settings.Cloud.ActionsPerS), sched.WithRecordLimit(a.settings.Store.RecordBytes), sched.WithFeatures(a.features)),
 		drivers: map[work.TargetID]*driver{}, cancelWaiters: map[work.JobID][]chan struct{}{},
 	}
 	h.renewPause.Store(int64(minRenewPause))
--- a/cmds/config.go
+++ b/cmds/config.go
@@ -44,6 +44,8 @@
 	report       string
 	// metricsPort is the port of the metrics page of the node command; 0 disables the page.
 	metricsPort int
+	// disabled lists the parts of the scheduling that the node command turns off, separated by commas.
+	disabled string
 
 	team    fleet.Team
 	key     fleet.Key
--- a/cmds/nodecmd.go
+++ b/cmds/nodecmd.go
@@ -25,7 +25,7 @@
 func nodeCmd() command {
 	return command{
 		short: "run the process on an entry host of the platform",
-		long: `Usage: lavenderwing node [-settings FILE] [-check]
+		long: `Usage: lavenderwing node [-settings FILE] [-check] [-disable LIST]
 
 Runs the process on an entry host of the platform until SIGTERM or SIGINT, and
 then stops gracefully. The platform sets the path of the settings file;
@@ -36,6 +36,7 @@
 			fs.StringVar(&c.settingsFile, "settings", platform.SettingsPath(), "settings file of the platform, in TOML")
 			fs.IntVar(&c.metricsPort, "metrics", 0, "port of the metrics page, 0 for none")
 			fs.BoolVar(&c.checkOnly, "check", false, "only check the settings")
+			fs.StringVar(&c.disabled, "disable", "", "parts of the scheduling to turn off, separated by commas: learn, shed, preempt, speed, peaks")
 		},
 		run: (*Config).runNode,
 	}
@@ -46,6 +47,10 @@
 	if err != nil {
 		return &UsageError{Message: err.Error()}
 	}
+	features, err := work.ParseDisabled(c.disabled)
+	if err != nil {
+		return &UsageError{Message: "-disable: " + err.Error()}
+	}
 	if c.reportCheckOnly() {
 		return nil
 	}
@@ -64,7 +69,7 @@
 		func() *zap.Logger { return logs.NewLogger(writer) },
 		newScope,
 		func(s work.Settings, log *zap.Logger, scope tally.Scope, page entry.MetricsHandler) (*agent.Agent, error) {
-			return agent.New(s, agent.WithLogger(log), agent.WithMetrics(scope, http.Handler(page), c.metricsPort), agent.WithReload(reload, hangup))
+			return agent.New(s, agent.WithLogger(log), agent.WithMetrics(scope, http.Handler(page), c.metricsPort), agent.WithReload(reload, hangup), agent.WithFeatures(features))
 		},
 	}
 	for _, p := range providers {
--- a/sched/table.go
+++ b/sched/table.go
@@ -27,8 +27,9 @@
 
 // Table holds the holder's knowledge of jobs, targets and hosts, and the orders that follow from it.
 type Table struct {
-	bounds work.Bounds
-	config *work.Config
+	bounds   work.Bounds
+	features work.Features
+	config   *work.Config
 	// poolNames holds the pools that the configuration or an active job names, and poolsRenamed means that they may have changed since the last plan.
 	poolNames    map[string]bool
 	poolsRenamed bool
@@ -136,6 +137,9 @@
 	return func(t *Table) { t.hostLimiter = newTokenBucket(perSecond * hostRateShare) }
 }
 
+// WithFeatures sets which parts of the scheduling are on; all are by default.
+func WithFeatures(f work.Features) Option { return func(t *Table) { t.features = f } }
+
 // WithRecordLimit sets how many bytes the store takes in a record, its key included; 0 means no limit.
 func WithRecordLimit(bytes int) Option { return func(t *Table) { t.recordLimit = bytes } }
 
