Send callers of an isolated zone to other zones

Change: heartbeats carry the zone; a holder that cannot write and hears no other zone says so, and its zone's processes are not ready and close the connections of callers whom they refuse.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -73,6 +73,8 @@
 
 	config   atomic.Pointer[configState]
 	stopping atomic.Bool
+	// wasIsolated means that the process was isolated when that was last determined.
+	wasIsolated atomic.Bool
 	// operatorOffset is the next offset to read from the operators' topic, or -1 if its newest records have to be read.
 	operatorOffset atomic.Int64
 	// storeLatency is the average latency of the calls of elections to the store.
@@ -98,8 +100,10 @@
 	// predecessor is the clock of the last holder that this process followed, as known from heartbeat replies.
 	predecessor sched.PredecessorClock
 	// active is the holder that runs in this process, nil while it follows.
-	active  *Holder
-	members map[string]member
+	active *Holder
+	// holderIsolated means that the holder that this process follows says that it is isolated.
+	holderIsolated bool
+	members        map[string]member
 	// membersEpoch is the epoch of the holder that last sent the list of members, and membersUpdatedAt the time of its reply.
 	membersEpoch     int64
 	membersUpdatedAt time.Duration
@@ -112,6 +116,8 @@
 	heardAt time.Duration
 	// share is the CPU share of the process, in cores.
 	share float64
+	// zone is the availability zone of the process, empty if it is not known.
+	zone string
 	// startedAt is when the process started, by this process's clock.
 	startedAt time.Duration
 	// stopping means that the process is stopping and cannot become the holder.
--- a/agent/follow.go
+++ b/agent/follow.go
@@ -70,7 +70,7 @@
 	askMembers := a.membersEpoch != holder.Epoch || sent-a.membersUpdatedAt >= membersInterval
 	a.mu.Unlock()
 	reply, err := a.peers.SendHeartbeat(holder.Address, mesh.Heartbeat{
-		Node: a.settings.Node, Address: a.address, Epoch: holder.Epoch, Version: a.configVersion(), Share: a.settings.CPUShare, UptimeMs: sent.Milliseconds(), Stopping: a.stopping.Load(), AsksMembers: askMembers, StoreLost: a.storeAnsweredAt.Load() < 0,
+		Node: a.settings.Node, Address: a.address, Epoch: holder.Epoch, Version: a.configVersion(), Share: a.settings.CPUShare, Zone: a.settings.Zone, UptimeMs: sent.Milliseconds(), Stopping: a.stopping.Load(), AsksMembers: askMembers, StoreLost: a.storeAnsweredAt.Load() < 0,
 	}, elect.CallTimeout)
 	now := a.clock.Now()
 	if err != nil {
@@ -96,8 +96,9 @@
 	if askMembers {
 		a.membersEpoch, a.membersUpdatedAt = holder.Epoch, now
 	}
+	a.holderIsolated = reply.Isolated
 	for _, m := range reply.Members {
-		a.members[m.Address] = member{heardAt: now, share: m.Share}
+		a.members[m.Address] = member{heardAt: now, share: m.Share, zone: a.members[m.Address].zone}
 	}
 	a.detector.RecordHeartbeat(holder.Epoch, reply.Troubled, now)
 	a.predecessor = sched.PredecessorClock{Epoch: holder.Epoch, FencedMs: reply.FencedMs, ReadingMs: reply.WallMs, ReadAt: now}
--- a/agent/handler.go
+++ b/agent/handler.go
@@ -17,8 +17,8 @@
 	holder, _ := a.detector.Holder()
 	reply.Epoch, reply.Address = holder.Epoch, holder.Address
 	reply.Holds = h != nil && h.epoch == holder.Epoch
-	a.members[heartbeat.Address] = member{heardAt: now, share: heartbeat.Share, startedAt: now - time.Duration(heartbeat.UptimeMs)*time.Millisecond, stopping: heartbeat.Stopping}
-	a.members[a.address] = member{heardAt: now, share: a.settings.CPUShare}
+	a.members[heartbeat.Address] = member{heardAt: now, share: heartbeat.Share, zone: heartbeat.Zone, startedAt: now - time.Duration(heartbeat.UptimeMs)*time.Millisecond, stopping: heartbeat.Stopping}
+	a.members[a.address] = member{heardAt: now, share: a.settings.CPUShare, zone: a.settings.Zone}
 	for _, address := range a.membersFor(heartbeat) {
 		reply.Members = append(reply.Members, mesh.Member{Address: address, Share: a.members[address].share})
 	}
@@ -26,7 +26,7 @@
 	a.mu.Unlock()
 	if h != nil {
 		reply.FencedMs = h.fencedMs.Load()
-		reply.Troubled = h.cannotWrite()
+		reply.Troubled, reply.Isolated = h.cannotWrite(), h.isolated()
 		if heartbeat.Epoch > h.epoch {
 			h.depose("a follower knows a later epoch")
 		}
--- a/agent/http.go
+++ b/agent/http.go
@@ -108,9 +108,9 @@
 	return r.Handler
 }
 
-// isReady reports whether the process can serve callers: it has a configuration, is not stopping, accepts connections, and reaches the holder or the store.
+// isReady reports whether the process can serve callers: it has a configuration, is not stopping, accepts connections, is not isolated, and reaches the holder or the store.
 func (a *Agent) isReady() bool {
-	if a.config.Load() == nil || a.stopping.Load() || (a.front != nil && a.front.Failing()) {
+	if a.config.Load() == nil || a.stopping.Load() || (a.front != nil && a.front.Failing()) || a.isolated() {
 		return false
 	}
 	now := a.clock.Now()
@@ -190,6 +190,10 @@
 	if status == fasthttp.StatusServiceUnavailable && retryMs == 0 {
 		retryMs = unreadyRetryAfterMs
 	}
+	if status == fasthttp.StatusServiceUnavailable && a.isolated() {
+		// A new connection may reach another zone.
+		ctx.SetConnectionClose()
+	}
 	if retryMs > 0 {
 		seconds := (retryMs + 999) / 1000
 		ctx.Response.Header.Set("Retry-After", strconv.FormatInt(seconds, 10))
--- a/agent/metrics.go
+++ b/agent/metrics.go
@@ -32,6 +32,7 @@
 	backlog     tally.Gauge
 	epoch       tally.Gauge
 	version     tally.Gauge
+	isolated    tally.Gauge
 	latency     [len(kindNames)]tally.Histogram
 
 	mu        sync.Mutex
@@ -53,7 +54,7 @@
 		storeReads: scope.Counter("store_reads"), storeWrites: scope.Counter("store_writes"), storeErrors: scope.Counter("store_errors"),
 		cloudCalls: scope.Counter("cloud_calls"), renewals: scope.Counter("target_renewals"), starts: scope.Counter("starts"), panics: scope.Counter("panics"),
 		removals: scope.Counter("jobs_removed"), backlog: scope.Gauge("removal_backlog"),
-		epoch: scope.Gauge("holder_epoch"), version: scope.Gauge("config_version"),
+		epoch: scope.Gauge("holder_epoch"), version: scope.Gauge("config_version"), isolated: scope.Gauge("isolated"),
 		decisions: map[string]tally.Counter{}, refusals: map[int]tally.Counter{}, stored: map[string]*storedTopic{},
 	}
 	for i, name := range kindNames {
--- a/mesh/message.go
+++ b/mesh/message.go
@@ -78,6 +78,8 @@
 	Stopping bool
 	// UptimeMs is how long the sender has been running, in milliseconds.
 	UptimeMs int64
+	// Zone is the availability zone of the sender.
+	Zone string
 	// AsksMembers requests the list of members in the reply.
 	AsksMembers bool
 }
@@ -98,6 +100,8 @@
 	Holds bool
 	// Troubled means that the holder cannot write to the store.
 	Troubled bool
+	// Isolated means that the holder cannot write to the store and hears no process of another availability zone.
+	Isolated bool
 	// Config is the newest configuration as operators wrote it, if it is newer than the sender's.
 	Config []byte
 	// Members are the live members, if the sender asked for them.
