Refuse submissions truly during an outage of the store

Cause: while the store resets connections, processes sent submissions to a holder that only refuses them, and tried to store them past it. Change: a process that does not reach the store makes no append for a submission, one whose holder cannot write does not send it there, and the reads that show that the store answers again do not wait.

--- a/agent/ask.go
+++ b/agent/ask.go
@@ -44,8 +44,10 @@
 	a.mu.Lock()
 	holder, known := a.detector.Holder()
 	alive := a.detector.Alive(a.clock.Now())
+	// A holder that cannot write refuses submissions, and one that gets lost on its way there could not be repeated.
+	refuses := r.request.Kind == mesh.Submit && a.detector.HolderCannotWrite()
 	a.mu.Unlock()
-	if !known || !alive || holder.Address == a.address {
+	if !known || !alive || refuses || holder.Address == a.address {
 		return mesh.Reply{Outcome: mesh.NotHolder}, false
 	}
 	wait := r.timeout * 3 / 4
@@ -65,8 +67,12 @@
 
 // storeDirect stores a job without the holder; the current or the next holder reads it from the store. maybeReceived means that a holder may have received the job and stored it too.
 func (a *Agent) storeDirect(r *callerRequest, maybeReceived bool) mesh.Reply {
+	if a.storeLost() {
+		// An append that fails now may still be written, and its caller could not be told whether to try again.
+		return unstoredReply(maybeReceived, retryAfterMs, "neither holder nor store answers")
+	}
 	if pause := a.directBreaker.openFor(a.clock.Now()); pause > 0 {
-		return breakerOpenReply(maybeReceived, pause)
+		return unstoredReply(maybeReceived, max(pause.Milliseconds(), retryAfterMs), "no holder answers, and the store fails what is written past it")
 	}
 	records := []platform.Record{{Key: string(r.request.ID), Value: r.request.Job}}
 	_, err := a.directStore.Append(jobsTopic, directFirstPartition+directIndex(r.request.ID), records, nil, directAppendTimeout)
@@ -81,12 +87,12 @@
 	return directFailedReply(maybeReceived, err)
 }
 
-// breakerOpenReply is the reply to a submission that is not stored directly because the circuit breaker is open. If the holder may have received the job, it is not known whether the job is stored.
-func breakerOpenReply(maybeReceived bool, pause time.Duration) mesh.Reply {
+// unstoredReply is the reply to a submission that is not stored directly. If the holder may have received the job, it is not known whether the job is stored.
+func unstoredReply(maybeReceived bool, retryMs int64, cause string) mesh.Reply {
 	if maybeReceived {
-		return mesh.Reply{Outcome: mesh.Undecided, Cause: "no holder answers, and the store fails what is written past it"}
+		return mesh.Reply{Outcome: mesh.Undecided, Cause: cause}
 	}
-	return mesh.Reply{Outcome: mesh.NotDone, RetryMs: max(pause.Milliseconds(), retryAfterMs), Cause: "no holder answers, and the store fails what is written past it"}
+	return mesh.Reply{Outcome: mesh.NotDone, RetryMs: retryMs, Cause: cause}
 }
 
 // directFailedReply is the reply to a submission whose direct append failed. It says that the job is not stored (NotDone) only if neither the holder nor the store can have received the job, and otherwise that this is not known (Undecided).
--- a/agent/config.go
+++ b/agent/config.go
@@ -26,7 +26,12 @@
 // tailOperators reads the operators' topic and applies its records.
 func (a *Agent) tailOperators(ctx context.Context) {
 	for ctx.Err() == nil {
-		if _, err := a.readOperators(operatorPoll, operatorPoll+pollSlack); err != nil {
+		poll := operatorPoll
+		if a.storeLost() {
+			// A read that does not wait shows soonest that the store answers again.
+			poll = 0
+		}
+		if _, err := a.readOperators(poll, operatorPoll+pollSlack); err != nil {
 			sleep(ctx, retryPause)
 		}
 	}
@@ -136,6 +141,9 @@
 	}
 }
 
+// storeLost reports whether the last call of this process to the store failed.
+func (a *Agent) storeLost() bool { return a.storeAnsweredAt.Load() < 0 }
+
 // recordStoreFailure records a failed call to the store, and logs it if it is the first one after a response.
 func (a *Agent) recordStoreFailure(call string, err error) {
 	a.meters.storeErrors.Inc(1)
--- a/agent/follow.go
+++ b/agent/follow.go
@@ -70,7 +70,7 @@
 	askMembers := a.membersEpoch != holder.Epoch || sent-a.membersUpdatedAt >= membersInterval
 	a.mu.Unlock()
 	reply, err := a.peers.SendHeartbeat(holder.Address, mesh.Heartbeat{
-		Node: a.settings.Node, Address: a.address, Epoch: holder.Epoch, Version: a.configVersion(), Share: a.settings.CPUShare, Zone: a.settings.Zone, UptimeMs: sent.Milliseconds(), Stopping: a.stopping.Load(), AsksMembers: askMembers, StoreLost: a.storeAnsweredAt.Load() < 0,
+		Node: a.settings.Node, Address: a.address, Epoch: holder.Epoch, Version: a.configVersion(), Share: a.settings.CPUShare, Zone: a.settings.Zone, UptimeMs: sent.Milliseconds(), Stopping: a.stopping.Load(), AsksMembers: askMembers, StoreLost: a.storeLost(),
 	}, elect.CallTimeout)
 	now := a.clock.Now()
 	if err != nil {
