Add lavenderwing config check

Cause: operators had no way to check a configuration before writing it. Scripts of the command tests can check an exit code.

--- a/cmds/config.go
+++ b/cmds/config.go
@@ -46,6 +46,8 @@
 	metricsPort int
 	// disabled lists the parts of the scheduling that the node command turns off, separated by commas.
 	disabled string
+	// inForceFile is the file of the configuration in force that the config command compares with; empty for none.
+	inForceFile string
 
 	team    fleet.Team
 	key     fleet.Key
--- a/cmds/main.go
+++ b/cmds/main.go
@@ -53,6 +53,7 @@
 func commands() map[string]command {
 	return map[string]command{
 		"apply":    applyCmd(),
+		"config":   configCmd(),
 		"demo":     demoCmd(),
 		"entry":    entryCmd(),
 		"host":     hostCmd(),
--- a/cmds/main_test.go
+++ b/cmds/main_test.go
@@ -1,9 +1,11 @@
 package cmds
 
 import (
+	"errors"
 	"fmt"
 	"net"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"testing"
 	"time"
@@ -35,6 +37,7 @@
 		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
 			"expand": expandFiles,
 			"await":  awaitStatus,
+			"status": execForStatus,
 		},
 	})
 }
@@ -59,6 +62,21 @@
 	}
 }
 
+// execForStatus runs a command, and fails unless it ends with the exit code that precedes it.
+func execForStatus(ts *testscript.TestScript, _ bool, args []string) {
+	var exit *exec.ExitError
+	err := ts.Exec(args[1], args[2:]...)
+	code := 0
+	if errors.As(err, &exit) {
+		code = exit.ExitCode()
+	} else {
+		ts.Check(err)
+	}
+	if fmt.Sprint(code) != args[0] {
+		ts.Fatalf("exit code %d, want %s", code, args[0])
+	}
+}
+
 // maxStatusPolls is how often a script polls for a status, every 50 ms. These 30 s are enough for a slow machine, so that
 // only a fault makes the test fail.
 const maxStatusPolls = 600
