Keep hedged attempts out of scripted stores

Cause: in one run of scripts/check beside other work, agent panicked in newScriptedWriter: a reply took longer than 40 ms, the writer hedged, and the script had no reply left. The handler also used its script without a lock. Change: the script's writer assumes a slow store, so that it hedges after half a second; the script is locked, and a call beyond it fails the test by name.

--- a/agent/stream_test.go
+++ b/agent/stream_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"github.com/valyala/fasthttp"
@@ -19,17 +21,26 @@
 	body   string
 }
 
-// newScriptedWriter returns a writer of epoch 1 whose store gives the replies one after the other.
+// newScriptedWriter returns a writer of epoch 1 whose store gives the replies one after the other. The store's latency counts as long, so that the writer hedges an attempt only after half a second: on a busy machine, replies take more than the usual 40 ms, and a hedged attempt is none of the script's.
 func newScriptedWriter(t *testing.T, is *is.I, replies ...storeReply) *fencedWriter {
 	address := fake.LoopbackAddresses(1)[0]
+	var mu sync.Mutex
 	startServer(t, is, address, func(ctx *fasthttp.RequestCtx) {
+		mu.Lock()
+		defer mu.Unlock()
+		if len(replies) == 0 {
+			t.Error("the writer made more calls than the script has replies")
+			return
+		}
 		ctx.SetStatusCode(replies[0].status)
 		ctx.SetBodyString(replies[0].body)
 		replies = replies[1:]
 	})
 	a, err := New(work.Settings{Node: "n", IP: "127.0.0.1", InternalPorts: [2]int{1, 2}, Store: work.StoreLimits{Address: address}})
 	is.NoErr(err)
-	return &fencedWriter{agent: a, topic: jobsTopic, epoch: 1}
+	w := &fencedWriter{agent: a, topic: jobsTopic, epoch: 1}
+	w.latency.record(time.Minute)
+	return w
 }
 
 // TestAppendFoundWrittenEndsTheFailure guards against a holder that refuses submissions for good: an append whose response was lost turned out to be written, and the writer still counted as failing.
