Start nothing in zones that operators have evacuated

Cause: operators announce that a zone is to be left by the key evacuate/ZONE, and the holder went on starting work there. With evacuate_ms in the settings, starts wait while the operators' records were read too long ago.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -24,6 +24,7 @@
 	"lavenderwing.example/lavenderwing/platform"
 	"lavenderwing.example/lavenderwing/sched"
 	"lavenderwing.example/lavenderwing/work"
+	"lavenderwing.example/lavenderwing/zones"
 )
 
 // Topics, keys and partitions in the store. All topics are keyed: the store keeps the newest record of each key forever.
@@ -75,6 +76,10 @@
 	stopping atomic.Bool
 	// operatorOffset is the next offset to read from the operators' topic, or -1 if its newest records have to be read.
 	operatorOffset atomic.Int64
+	// evacuations holds the evacuations that the operators' records request, as read so far.
+	evacuations atomic.Pointer[zones.Set]
+	// operatorsReadAt is when the last read began that reached the end of the operators' topic.
+	operatorsReadAt atomic.Int64
 	// storeLatency is the average latency of the calls of elections to the store.
 	storeLatency latencyAverage
 	// storeAnsweredAt is when the store last answered, 0 before its first answer and -1 while calls to it fail.
@@ -163,6 +168,7 @@
 		a.meters = newMeters(tally.NoopScope, nil)
 	}
 	a.operatorOffset.Store(-1)
+	a.evacuations.Store(&zones.Set{})
 	a.link = newLink(s.LinkMbps)
 	a.address = net.JoinHostPort(s.IP, strconv.Itoa(s.InternalPorts[0]))
 	hash := fnv.New32a()
--- a/agent/config.go
+++ b/agent/config.go
@@ -3,12 +3,15 @@
 import (
 	"context"
 	"errors"
+	"slices"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
 
 	"lavenderwing.example/lavenderwing/platform"
 	"lavenderwing.example/lavenderwing/work"
+	"lavenderwing.example/lavenderwing/zones"
 )
 
 // Timeouts and pauses of calls to the store.
@@ -34,7 +37,7 @@
 
 // readOperators applies what operators have written since the last read, and reports whether that is all. If there is nothing, the read waits up to poll for the first record. Reads may overlap, because applying a record again changes nothing.
 func (a *Agent) readOperators(poll, timeout time.Duration) (bool, error) {
-	next := a.operatorOffset.Load()
+	began, next := a.clock.Now(), a.operatorOffset.Load()
 	var batch platform.UpdateBatch
 	var err error
 	if next < 0 {
@@ -57,8 +60,16 @@
 		// A failed update is logged, and the state before it stays in force.
 		_ = a.guard("a record of operators", func() { a.applyOperatorUpdate(u) })
 	}
+	changed := a.foldEvacuations(batch, next < 0)
 	a.operatorOffset.CompareAndSwap(next, batch.NextOffset)
-	return batch.NextOffset >= batch.EndOffset, nil
+	whole := batch.NextOffset >= batch.EndOffset
+	if whole {
+		storeLater(&a.operatorsReadAt, int64(began))
+	}
+	if h := a.activeHolder(); h != nil && (whole || changed) {
+		h.applyEvacuations()
+	}
+	return whole, nil
 }
 
 // applyOperatorUpdate applies a configuration or a maintenance wave, or logs a record that is neither.
@@ -86,6 +97,62 @@
 	}
 }
 
+// storeLater stores a time unless a later one is stored.
+func storeLater(at *atomic.Int64, value int64) {
+	for {
+		old := at.Load()
+		if old >= value || at.CompareAndSwap(old, value) {
+			return
+		}
+	}
+}
+
+// foldEvacuations adds the evacuations of a read to those that are known, and reports whether that has changed which zones are evacuated. A read of all newest records also shows which ones are over.
+func (a *Agent) foldEvacuations(batch platform.UpdateBatch, newest bool) bool {
+	var records []zones.Record
+	for _, u := range batch.Updates {
+		if e, ok := u.(platform.EvacuationUpdate); ok {
+			records = append(records, zones.Record{Zone: e.Zone, Active: e.Active, Offset: e.Offset})
+		}
+	}
+	if len(records) == 0 && !newest {
+		return false
+	}
+	for {
+		old := a.evacuations.Load()
+		next := *old
+		if newest {
+			next = old.WithNewest(records, batch.EndOffset)
+		} else {
+			for _, r := range records {
+				next = next.With(r)
+			}
+		}
+		if a.evacuations.CompareAndSwap(old, &next) {
+			return a.logEvacuations(old.Zones(), next.Zones())
+		}
+	}
+}
+
+// logEvacuations logs which zones have been evacuated and which are in use again, and reports whether there are any.
+func (a *Agent) logEvacuations(before, after []string) bool {
+	if slices.Equal(before, after) {
+		return false
+	}
+	a.meters.evacuatedZones.Update(float64(len(a.evacuations.Load().Zones())))
+	for _, zone := range after {
+		if !slices.Contains(before, zone) {
+			a.log.Info("evacuation read", zap.String("subject", zone), zap.String("cause", "operators"), zap.String("detail", "evacuated"))
+		}
+	}
+	for _, zone := range before {
+		if !slices.Contains(after, zone) {
+			a.log.Info("evacuation read", zap.String("subject", zone), zap.String("cause", "operators"), zap.String("detail", "in use again"))
+		}
+	}
+	return true
+}
+
 // applyConfig puts a configuration in force unless the same or a later version is in force.
 func (a *Agent) applyConfig(c *work.Config, raw []byte, source string) {
 	next := &configState{config: c, raw: raw, at: a.clock.Now()}
--- a/agent/holder.go
+++ b/agent/holder.go
@@ -369,6 +369,25 @@
 	h.wakeLoop()
 }
 
+// applyEvacuations passes the evacuations that are known now to the table.
+func (h *Holder) applyEvacuations() {
+	changed := false
+	// A failed update is logged, and the zones before it stay evacuated.
+	_ = h.guardTable("evacuations", func() { changed = h.setEvacuations() })
+	if changed {
+		h.wakeLoop()
+	}
+}
+
+// setEvacuations passes the evacuations that are known now to the table and reports whether they have changed; the caller holds the lock, so that no earlier ones follow later ones.
+func (h *Holder) setEvacuations() bool {
+	// The set is at least as new as the time that was loaded before it.
+	readAt := time.Duration(h.agent.operatorsReadAt.Load())
+	changed := h.table.SetEvacuated(h.agent.evacuations.Load().Zones(), h.agent.clock.Now())
+	h.table.ConfirmOperatorRecords(readAt)
+	return changed
+}
+
 // HandleRequest handles a caller's request, or replies that this process is not the holder.
 func (a *Agent) HandleRequest(request mesh.Request) mesh.Reply {
 	h := a.activeHolder()
--- a/agent/metrics.go
+++ b/agent/metrics.go
@@ -18,21 +18,22 @@
 
 // meters holds the metrics of the process.
 type meters struct {
-	scope       tally.Scope
-	page        http.Handler
-	peerBytes   atomic.Int64
-	storeReads  tally.Counter
-	storeWrites tally.Counter
-	storeErrors tally.Counter
-	cloudCalls  tally.Counter
-	renewals    tally.Counter
-	starts      tally.Counter
-	panics      tally.Counter
-	removals    tally.Counter
-	backlog     tally.Gauge
-	epoch       tally.Gauge
-	version     tally.Gauge
-	latency     [len(kindNames)]tally.Histogram
+	scope          tally.Scope
+	page           http.Handler
+	peerBytes      atomic.Int64
+	storeReads     tally.Counter
+	storeWrites    tally.Counter
+	storeErrors    tally.Counter
+	cloudCalls     tally.Counter
+	renewals       tally.Counter
+	starts         tally.Counter
+	panics         tally.Counter
+	removals       tally.Counter
+	backlog        tally.Gauge
+	epoch          tally.Gauge
+	version        tally.Gauge
+	evacuatedZones tally.Gauge
+	latency        [len(kindNames)]tally.Histogram
 
 	mu        sync.Mutex
 	decisions map[string]tally.Counter
@@ -53,7 +54,7 @@
 		storeReads: scope.Counter("store_reads"), storeWrites: scope.Counter("store_writes"), storeErrors: scope.Counter("store_errors"),
 		cloudCalls: scope.Counter("cloud_calls"), renewals: scope.Counter("target_renewals"), starts: scope.Counter("starts"), panics: scope.Counter("panics"),
 		removals: scope.Counter("jobs_removed"), backlog: scope.Gauge("removal_backlog"),
-		epoch: scope.Gauge("holder_epoch"), version: scope.Gauge("config_version"),
+		epoch: scope.Gauge("holder_epoch"), version: scope.Gauge("config_version"), evacuatedZones: scope.Gauge("evacuated_zones"),
 		decisions: map[string]tally.Counter{}, refusals: map[int]tally.Counter{}, stored: map[string]*storedTopic{},
 	}
 	for i, name := range kindNames {
--- a/agent/recover.go
+++ b/agent/recover.go
@@ -55,6 +55,7 @@
 	for number, w := range waves {
 		h.table.AddWave(w, since[number])
 	}
+	h.setEvacuations()
 	return nil
 }
 
@@ -92,7 +93,7 @@
 	return inParallel(reads...)
 }
 
-// readOperators reads what operators wrote before this takeover. The process may have been cut off from the store until then, and a holder must know the limits and the waves that are in force before it acts.
+// readOperators reads what operators wrote before this takeover. The process may have been cut off from the store until then, and a holder must know the limits, the waves and the evacuations that are in force before it acts.
 func (h *Holder) readOperators() error {
 	for {
 		whole, err := h.agent.readOperators(0, recoverReadTimeout)
--- a/sched/hostlist.go
+++ b/sched/hostlist.go
@@ -31,6 +31,7 @@
 		w.updateMissing(present, sent)
 	}
 	t.hostsListed = true
+	t.markEvacuated()
 	t.dropMissingTargets(list, sent, now)
 	sort.Slice(t.sortedHosts, func(a, b int) bool { return t.sortedHosts[a].Name < t.sortedHosts[b].Name })
 }
--- a/sched/job.go
+++ b/sched/job.go
@@ -80,6 +80,9 @@
 	noRoom bool
 	// noRoomSince is when attempts began to find no room, 0 if the last one found room.
 	noRoomSince time.Duration
+	// stranded counts the items on targets of evacuated zones that the disruption budget lets leave and for which no other target has room, and strandedSince is since when there have been any.
+	stranded      int
+	strandedSince time.Duration
 	// advice is nil until advice is requested.
 	advice *adviceState
 }
--- a/sched/plan.go
+++ b/sched/plan.go
@@ -16,6 +16,7 @@
 	t.addDueOccurrences(now)
 	t.pruneActiveJobs()
 	t.endTrials(now)
+	t.reportSuspension(now)
 	if now-t.teamLoadsMeasuredAt >= teamLoadInterval {
 		t.teamLoadsMeasuredAt = now
 		t.measureTeamLoads(now)
@@ -38,6 +39,7 @@
 		t.hostsPlannedAt = now
 		t.dropUnusedTargets(now)
 		t.planHosts(now)
+		t.evacuateZones(now)
 	}
 }
 
--- a/sched/renew.go
+++ b/sched/renew.go
@@ -59,7 +59,7 @@
 // shortPollPeriod is how long after the start of a serving item its target is asked to answer soon. Most items reach full speed within a second; the bound ends the frequent polls of one that never does.
 const shortPollPeriod = 3 * time.Second
 
-// PrepareStart returns a start that is sent now with its lease, whose end is 0 while the target's clock is unknown, and true. It also moves the time at which the target's lease has certainly expired. It returns false if the start must not be sent any more, because the target has shrunk or begun to drain, or the team's cap was lowered, since the start was planned.
+// PrepareStart returns a start that is sent now with its lease, whose end is 0 while the target's clock is unknown, and true. It also moves the time at which the target's lease has certainly expired. It returns false if the start must not be sent any more, because the target has shrunk or begun to drain, its zone was evacuated, or the team's cap was lowered, since the start was planned.
 func (t *Table) PrepareStart(o StartOrder, now time.Duration) (StartOrder, bool) {
 	tgt, ok := t.targets[o.Target]
 	it := t.findItem(o.Start.Item)
@@ -81,6 +81,11 @@
 	switch {
 	case tgt.Draining && !it.sent:
 		return "target is draining"
+	case tgt.evacuated:
+		// A repeated start must not reach the zone either, also if the answer to an earlier attempt is missing.
+		return "zone=" + t.zoneOf(tgt) + " is evacuated"
+	case !t.knowsEvacuations(now):
+		return "operators' records were read long ago"
 	case !it.step.spec.Reservation().Fits(tgt.free().Add(it.step.spec.Reservation())):
 		return "target has shrunk"
 	case !t.knowsCapacity(tgt, now):
--- a/sched/table.go
+++ b/sched/table.go
@@ -106,6 +106,14 @@
 	teamLoadsMeasuredAt time.Duration
 	// poolsLoggedAt is when the pools' sizes were last logged.
 	poolsLoggedAt time.Duration
+	// evacuations holds the zones that operators have evacuated.
+	evacuations map[string]*evacuation
+	// operatorsReadAt is the time up to which the records of operators are known.
+	operatorsReadAt time.Duration
+	// startsSuspended means that the last plan could start nothing, because knowsEvacuations was false.
+	startsSuspended bool
+	// strandedSteps holds the steps with stranded items.
+	strandedSteps []*step
 	// predecessor is what this process knows of an earlier holder's clock, and processOriginMs its own process time at time 0 of its clock.
 	predecessor     PredecessorClock
 	processOriginMs int64
@@ -152,7 +160,7 @@
 		bounds: bounds, config: &work.Config{}, poolNames: map[string]bool{}, expired: map[jobKey]bool{}, unusedSince: map[string]time.Duration{}, jobs: map[work.JobID]*job{},
 		targets: map[work.TargetID]*target{}, targetByAddress: map[string]*target{}, usage: map[string]work.Resources{}, runStatsByQueue: map[string]*runStats{},
 		hosts: map[string]*host{}, hostRecords: map[string]work.HostOrderRecord{}, rejectedMoves: map[string]bool{},
-		heldEntries: map[work.TargetID]heldEntry{}, waves: map[int64]*waveState{}, pools: map[string]*poolState{}, trialQueues: map[string]trialQueue{},
+		heldEntries: map[work.TargetID]heldEntry{}, waves: map[int64]*waveState{}, pools: map[string]*poolState{}, trialQueues: map[string]trialQueue{}, evacuations: map[string]*evacuation{},
 	}
 	for _, o := range opts {
 		o(t)
@@ -400,6 +408,7 @@
 	tgt.listed = true
 	t.claimAddress(tgt, now)
 	tgt.rack = w.Rack()
+	tgt.evacuated = t.isEvacuated(t.zoneOf(tgt))
 	if tgt.leaseExpiresAt == 0 && !tgt.acquired && len(tgt.runs) > 0 {
 		tgt.leaseExpiresAt = t.tookOverAt + inheritedLeaseDuration
 	}
--- a/sched/target.go
+++ b/sched/target.go
@@ -67,6 +67,8 @@
 	unanswered []delayedStart
 	// cordoned means that the target gets no new starts because its host is about to be moved or maintained.
 	cordoned bool
+	// evacuated means that operators have evacuated the target's zone, so that it gets no new starts.
+	evacuated bool
 	// hostOrderIssued means that the order for the target's host has been issued.
 	hostOrderIssued bool
 	// drainOverdue means that the target's host has drained for its maintenance for longer than maxDrainWait.
@@ -144,7 +146,7 @@
 
 // available reports whether the target may get new starts.
 func (t *target) available(now time.Duration) bool {
-	return t.listed && t.acquired && !t.setAside && !t.Draining && !t.cordoned && !t.unreachable && len(t.revoked) == 0 && now >= t.quarantinedUntil
+	return t.listed && t.acquired && !t.setAside && !t.Draining && !t.cordoned && !t.evacuated && !t.unreachable && len(t.revoked) == 0 && now >= t.quarantinedUntil
 }
 
 // extendLease returns the time on the target's clock until which a lease of the given length holds, or 0 while its clock is unknown, and notes when the lease has certainly expired.
--- a/work/settings.go
+++ b/work/settings.go
@@ -77,6 +77,8 @@
 	StatusRetention time.Duration
 	// ConfigApply is how soon a configuration change must be in force.
 	ConfigApply time.Duration
+	// EvacuationApply is how soon after its confirmation no start may reach an evacuated zone, 0 if the platform evacuates no zones.
+	EvacuationApply time.Duration
 	// CancelApply is how soon after a cancellation no item of the job may start.
 	CancelApply time.Duration
 	// FailureDetection is how soon the unavailability of a serving item must be detected.
