Count hosts of evacuated zones out of their pools, and soak evacuations

Cause: a pool whose zone is left keeps hosts that it may not use and gets no others; no test evacuated a zone over real sockets. Change: such hosts count neither as present nor as coming; idle ones move to the standby pool; moves of them into a pool are cancelled or held back.

--- a/agent/cluster_test.go
+++ b/agent/cluster_test.go
@@ -238,6 +238,16 @@
 				c.Fatalf("%s: agent %d has logged the entry more than once", c.line, n)
 			}
 		}
+	case "evacuate", "revoke": // ZONE: operators evacuate the zone, or take it into use again
+		if command == "revoke" {
+			c.platform.Revoke(args[0])
+			break
+		}
+		c.platform.Evacuate(args[0])
+	case "event": // KIND SUBJECT COUNT: waits until the agents have logged the event this often, all together
+		c.await(func() bool { return c.countEvents(args[0], args[1]) >= atoi(args[2]) })
+	case "startsInEvacuated": // ZONE COUNT: checks how many runs have started in the zone since its evacuation
+		c.is.Equal(c.platform.Checker.StartsInEvacuated(args[0]), atoi(args[1])) // starts in the zone
 	case "started": // COUNT: waits until at least this many runs have started
 		c.await(func() bool { return c.platform.Checker.StartCount() >= atoi(args[0]) })
 	default:
@@ -314,6 +324,19 @@
 	return lines
 }
 
+// countEvents counts the events of the kind about the subject in the logs of all agents.
+func (c *cluster) countEvents(kind, subject string) int {
+	lines := 0
+	for _, n := range c.nodes {
+		for _, e := range n.logs.FilterMessage(kind).All() {
+			if e.ContextMap()["subject"] == subject {
+				lines++
+			}
+		}
+	}
+	return lines
+}
+
 func id(text string) work.JobID { return work.JobID(fmt.Sprintf("%016s", text)) }
 
 func atoi(text string) int {
--- a/agent/recover_test.go
+++ b/agent/recover_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"strconv"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"github.com/valyala/fasthttp"
@@ -108,6 +109,75 @@
 	is.Equal(h.table.WaveUpdates(), []sched.WaveUpdate{{Wave: 7}})
 }
 
+// TestSuccessorStartsNothingInEvacuatedZone guards against a start in a zone that operators evacuated while the process that takes over had not read the store, just before the former holder died: the successor has to know it before its first plan, and not by what it read earlier.
+func TestSuccessorStartsNothingInEvacuatedZone(t *testing.T) {
+	is := is.New(t)
+	p, err := stage.New(fake.LoopbackAddresses(2), "pool", 0, work.Resources{})
+	is.NoErr(err)
+	t.Cleanup(p.Close)
+	a, err := New(work.Settings{
+		Node: "n", IP: "127.0.0.1", InternalPorts: [2]int{1, 2},
+		Store: work.StoreLimits{Address: p.Store.Address}, Bounds: work.Bounds{EvacuationApply: 5 * time.Second},
+	})
+	is.NoErr(err)
+	is.NoErr(p.Configure(&work.Config{
+		Version: 1, Pools: []work.Pool{{Name: "pool"}},
+		Queues: []work.Queue{{Name: "q", Pool: "pool", MaxAttempts: 1, SlackFactor: 20, FixedSlackMs: 60000}},
+	}))
+	p.Evacuate("left")
+	_, err = a.readOperators(0, storeTimeout)
+	is.NoErr(err)
+	is.Equal(a.evacuations.Load().Zones(), []string{"left"})
+	job, err := work.Encode(&work.Job{ID: "00000000000000a1", Queue: "q", Pool: "pool", AcceptedMs: time.Now().UnixMilli(), Steps: []work.Step{{Count: 3, Demand: work.Resources{CPU: 500, MemMB: 1}}}})
+	is.NoErr(err)
+	p.Store.Put(jobsTopic, "00000000000000a1", job)
+	// What follows is written while the process does not read the store.
+	p.Revoke("left")
+	p.Evacuate("a")
+
+	h := newHolder(a, 1)
+	a.active = h
+	is.NoErr(h.recover())
+	now := a.clock.Now()
+	for _, zone := range []string{"a", "left"} {
+		id := work.TargetID("i-" + zone)
+		h.table.UpsertTarget(work.Target{ID: id, Pool: "pool", Address: "10.0.0.1:" + strconv.Itoa(len(zone)), Zone: zone, Capacity: work.Resources{CPU: 1000, MemMB: 100}}, now)
+		h.table.RenewalAnswered(id, work.RenewalReply{ClockMs: 1}, 0, now, now)
+	}
+	h.table.Plan(now)
+	batch, err := h.table.Flush(now)
+	is.NoErr(err)
+	is.Equal(len(batch.Orders), 2) // as many items as fit the target of the zone in use
+	for _, o := range batch.Orders {
+		is.Equal(sched.TargetOf(o), work.TargetID("i-left"))
+	}
+}
+
+// TestEvacuationsFollowTheStore guards against evacuations that outlast their removal, or end too early, for a process whose offset has expired: it reads only the newest records, which lack a key that was removed.
+func TestEvacuationsFollowTheStore(t *testing.T) {
+	is := is.New(t)
+	p, err := stage.New(fake.LoopbackAddresses(2), "pool", 0, work.Resources{})
+	is.NoErr(err)
+	t.Cleanup(p.Close)
+	a, err := New(work.Settings{Node: "n", IP: "127.0.0.1", InternalPorts: [2]int{1, 2}, Store: work.StoreLimits{Address: p.Store.Address}})
+	is.NoErr(err)
+	read := func(from int64) []string {
+		a.operatorOffset.Store(from)
+		_, err := a.readOperators(0, storeTimeout)
+		is.NoErr(err)
+		return a.evacuations.Load().Zones()
+	}
+	p.Evacuate("a")
+	p.Evacuate("b")
+	is.Equal(read(0), []string{"a", "b"})
+	p.Revoke("a")
+	p.Evacuate("c")
+	is.Equal(read(-1), []string{"b", "c"})
+	is.Equal(read(0), []string{"b", "c"}) // the whole topic again
+	p.Revoke("b")
+	is.Equal(read(4), []string{"c"})
+}
+
 // TestJobStoredDirectlyDuringRecoveryKeepsItsProgress guards against items that run twice: the predecessor reads a job from a direct partition after the new holder has, and records its progress before the fence.
 func TestJobStoredDirectlyDuringRecoveryKeepsItsProgress(t *testing.T) {
 	is := is.New(t)
--- a/sched/host.go
+++ b/sched/host.go
@@ -286,6 +286,9 @@
 		if o == nil || o.stage != stageDraining || h.State != work.HostUp || !t.mayOrder(h, now) {
 			continue
 		}
+		if t.isHeldBack(h) {
+			continue
+		}
 		if o.Wave > 0 && !o.maybeExecuted && t.hostsDown(t.waves[o.Wave], h, now) >= max(t.waves[o.Wave].MaxConcurrent, 1) {
 			continue
 		}
--- a/sched/label.go
+++ b/sched/label.go
@@ -25,11 +25,20 @@
 		p.labelDemands = append(p.labelDemands, labelDemand{label: s.spec.RequiredLabel})
 		n = len(p.labelDemands) - 1
 	}
-	if k := &p.labelDemands[n]; waiting > 0 && s.noRoomSince > 0 {
-		k.unplacedCPU += int64(waiting) * cpu
-		if k.since == 0 || s.noRoomSince < k.since {
-			k.since = s.noRoomSince
-		}
+	k := &p.labelDemands[n]
+	if waiting > 0 && s.noRoomSince > 0 {
+		k.add(int64(waiting)*cpu, s.noRoomSince)
+	}
+	if s.stranded > 0 {
+		k.add(int64(s.stranded)*cpu, s.strandedSince)
+	}
+}
+
+// add adds the demand of items that have found no room since the given time.
+func (k *labelDemand) add(cpu int64, since time.Duration) {
+	k.unplacedCPU += cpu
+	if k.since == 0 || since < k.since {
+		k.since = since
 	}
 }
 
@@ -83,7 +92,7 @@
 // incomingWithLabel reports whether a host with the label is on its way to the pool.
 func (t *Table) incomingWithLabel(p *poolState, label string) bool {
 	for _, h := range t.sortedHosts {
-		if h.order != nil && h.order.Wave == 0 && h.order.Pool == p.name && h.hasLabel(label) {
+		if h.order != nil && h.order.Wave == 0 && h.order.Pool == p.name && h.hasLabel(label) && !t.isHostEvacuated(h) {
 			return true
 		}
 	}
--- a/sched/pools.go
+++ b/sched/pools.go
@@ -71,6 +71,7 @@
 
 // planPools moves spare hosts to the pools that are short of hosts, and the hosts that no pool needs into the standby pool.
 func (t *Table) planPools(now time.Duration) {
+	t.cancelEvacuatedMoves()
 	pools := t.measurePools(now)
 	var standby *poolState
 	for _, p := range pools {
@@ -97,6 +98,7 @@
 	if standby == nil {
 		return
 	}
+	t.releaseEvacuatedHosts(standby.name, now)
 	for _, h := range spare {
 		if p := t.pools[h.Pool]; p != nil && p != standby && p.surplusSince > 0 && now-p.surplusSince >= surplusDelay {
 			t.beginMove(h, standby.name, now)
@@ -108,7 +110,7 @@
 func (t *Table) cancelSurplusMoves() {
 	for _, h := range t.sortedHosts {
 		o := h.order
-		if o == nil || o.Wave > 0 || o.stage != stageDraining || o.maybeExecuted {
+		if o == nil || o.Wave > 0 || o.stage != stageDraining || o.maybeExecuted || t.isHostEvacuated(h) {
 			continue
 		}
 		to, from := t.pools[o.Pool], t.pools[h.Pool]
@@ -155,7 +157,7 @@
 // wanted is the number of hosts that the pool should have.
 func (p *poolState) wanted() int { return p.wantedHosts }
 
-// measurePools measures each pool's demand and hosts, and apportions the hosts.
+// measurePools measures each pool's demand and hosts, and apportions the hosts. Those of evacuated zones do not count.
 func (t *Table) measurePools(now time.Duration) []*poolState {
 	minHostsByPool := map[string]int{}
 	for _, p := range t.pools {
@@ -182,14 +184,15 @@
 		pools = append(pools, p)
 	}
 	for _, h := range t.sortedHosts {
+		evacuated := t.isHostEvacuated(h)
 		if o := h.order; o != nil && o.Wave == 0 {
-			if p, ok := t.pools[o.Pool]; ok {
+			if p, ok := t.pools[o.Pool]; ok && !evacuated {
 				p.incoming++
 			}
 			continue
 		}
 		if p, ok := t.pools[h.Pool]; ok && h.State == work.HostUp {
-			if h.order == nil {
+			if h.order == nil && !evacuated {
 				p.hosts = append(p.hosts, h)
 			}
 			p.hostCPU, p.hostMemMB = max(p.hostCPU, h.Capacity.CPU), max(p.hostMemMB, h.Capacity.MemMB)
@@ -202,7 +205,7 @@
 	}
 	up := 0
 	for _, h := range t.sortedHosts {
-		if h.State != work.HostDown {
+		if h.State != work.HostDown && !t.isHostEvacuated(h) {
 			up++
 		}
 	}
@@ -249,6 +252,10 @@
 		p.unplacedCPU += int64(waiting) * cpu
 		p.unplacedCount += waiting
 	}
+	if s.stranded > 0 && s.spec.RequiredLabel == "" {
+		p.unplacedCPU += int64(s.stranded) * cpu
+		p.unplacedCount += s.stranded
+	}
 	if s.spec.RequiredLabel != "" && j.active() && s.unfinished > 0 {
 		p.addLabelDemand(s, waiting, cpu)
 	}
--- a/sched/script_test.go
+++ b/sched/script_test.go
@@ -151,10 +151,10 @@
 		}
 		sr.config.Teams = teams
 		sr.configure()
-	case "target": // NAME pool=NAME cpu=N mem=N [gpus=N] [label=L] [rack=R] [draining=yes] [incarnation=N] [address=A]: the store's entry of a target
+	case "target": // NAME pool=NAME cpu=N mem=N [gpus=N] [label=L] [rack=R] [draining=yes] [incarnation=N] [address=A] [zone=Z]: the store's entry of a target
 		sr.table.UpsertTarget(work.Target{
 			ID: work.TargetID(args[0]), Pool: o["pool"], Address: cmp.Or(o["address"], "address-"+args[0]), Capacity: parseAmount(o),
-			Labels: []string{o["label"], o["rack"]}, Draining: o["draining"] != "", StartedMs: int64(parseNumber(o["incarnation"])),
+			Labels: []string{o["label"], o["rack"]}, Draining: o["draining"] != "", Zone: o["zone"], StartedMs: int64(parseNumber(o["incarnation"])),
 		}, sr.now)
 	case "listed": // NAME,NAME: a complete read of the store holds entries of just these targets
 		sr.removeUnlisted(strings.Split(args[0], ","))
@@ -179,8 +179,8 @@
 		if want, ok := o["needed"]; ok {
 			sr.is.Equal(r.Needed, want == "yes") // the target is to be renewed
 		}
-	case "host": // NAME pool=NAME state=STATE target=NAME cpu=N mem=N [gpus=N] [label=L]: an entry of the next host list
-		sr.hosts = append(sr.hosts, work.Host{Name: args[0], Pool: o["pool"], State: work.HostState(o["state"]), Target: work.TargetID(o["target"]), Capacity: parseAmount(o), Labels: []string{o["label"]}})
+	case "host": // NAME pool=NAME state=STATE target=NAME cpu=N mem=N [gpus=N] [label=L] [zone=Z]: an entry of the next host list
+		sr.hosts = append(sr.hosts, work.Host{Name: args[0], Pool: o["pool"], State: work.HostState(o["state"]), Target: work.TargetID(o["target"]), Capacity: parseAmount(o), Labels: []string{o["label"]}, Zone: o["zone"]})
 	case "hosts": // [sent=DURATION]: applies the host list, which was requested now or at the given time, and begins an empty one
 		sent := sr.now
 		if o["sent"] != "" {
@@ -190,6 +190,12 @@
 		sr.hosts = nil
 	case "wave": // hosts=NAME,NAME deadline=SECONDS cap=N: announces wave 1
 		sr.table.AddWave(work.Wave{Number: 1, Hosts: strings.Split(o["hosts"], ","), DeadlineS: float64(parseNumber(o["deadline"])), MaxConcurrent: parseNumber(o["cap"])}, sr.now)
+	case "evacuate": // ZONE,ZONE|none: the zones that operators have evacuated
+		sr.table.SetEvacuated(slices.DeleteFunc(strings.Split(args[0], ","), func(zone string) bool { return zone == "none" }), sr.now)
+	case "evacuationBound": // DURATION: no start may reach an evacuated zone later than this after the confirmation
+		sr.table.bounds.EvacuationApply = sr.parseDuration(args[0])
+	case "operatorsRead": // the operators' records have been read to their end
+		sr.table.ConfirmOperatorRecords(sr.now)
 	case "hostRate": // N: limits the host orders a second
 		sr.table.hostLimiter = newTokenBucket(float64(parseNumber(args[0])))
 	case "hostOrderAnswered": // HOST pool=NAME|wave=N answer=done|busy|invalid|later|none
--- a/sched/zones.go
+++ b/sched/zones.go
@@ -267,3 +267,59 @@
 		}
 	}
 }
+
+// cancelEvacuatedMoves cancels moves of hosts of evacuated zones into pools in which they would be of no use, as long as their orders have not been issued.
+func (t *Table) cancelEvacuatedMoves() {
+	if len(t.evacuations) == 0 {
+		return
+	}
+	for _, h := range t.sortedHosts {
+		if o := h.order; t.isHeldBack(h) && o.stage == stageDraining && !o.maybeExecuted {
+			h.order = nil
+			t.setCordoned(h, false)
+		}
+	}
+}
+
+// isHeldBack reports whether the host's order would move it into a pool, other than the standby pool, while its zone is evacuated.
+func (t *Table) isHeldBack(h *host) bool {
+	o := h.order
+	if o == nil || o.Wave > 0 || !t.isHostEvacuated(h) {
+		return false
+	}
+	pool, ok := t.config.Pool(o.Pool)
+	return !ok || !pool.Standby
+}
+
+// releaseEvacuatedHosts moves the idle hosts of evacuated zones into the standby pool.
+func (t *Table) releaseEvacuatedHosts(standby string, now time.Duration) {
+	if len(t.evacuations) == 0 {
+		return
+	}
+	for _, h := range t.sortedHosts {
+		if h.order != nil || h.State != work.HostUp || h.Pool == standby || t.pools[h.Pool] == nil || !t.isHostEvacuated(h) || !t.isIdleFor(h, surplusDelay, now) || !t.mayOrder(h, now) {
+			continue
+		}
+		t.beginMove(h, standby, now)
+		if h.order != nil {
+			t.logEvent("released", h.Name, h.Pool, "zone="+t.hostZone(h))
+		}
+	}
+}
+
+// hostZone returns the host's zone by the host list or, if that names none, by its target's entry.
+func (t *Table) hostZone(h *host) string {
+	if tgt, ok := t.targets[h.Target]; ok && h.Zone == "" {
+		return tgt.Zone
+	}
+	return h.Zone
+}
+
+// isIdleFor reports whether nothing has run on the host for the given time, as far as this holder and the target know.
+func (t *Table) isIdleFor(h *host, length, now time.Duration) bool {
+	if h.idleSince == 0 || now-h.idleSince < length {
+		return false
+	}
+	tgt, ok := t.targets[h.Target]
+	return !ok || (!tgt.Draining && len(tgt.runs) == 0 && tgt.orphanUsage == work.Resources{} && len(tgt.unexpected) == 0)
+}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -67,6 +67,9 @@
 	maxFaultDuration = 2 * time.Second
 	// stallDuration is longer than a takeover and the successor's wait before it orders a host that the predecessor ordered.
 	stallDuration = 7 * time.Second
+	// minEvacuation and maxEvacuation bound the length of an evacuation. Some are revoked before the 5 s after which no start may reach the zone, most last for some seconds longer.
+	minEvacuation = 4 * time.Second
+	maxEvacuation = 12 * time.Second
 	// stallLead is long enough for several orders for hosts to be given.
 	stallLead = 500 * time.Millisecond
 )
@@ -116,6 +119,37 @@
 	}
 }
 
+// TestSoakWithEvacuations guards against starts in an evacuated zone later than the settings allow, and against work that is lost there, while the faults of TestSoak are injected: holders that die, are paused or cut off from the store right after the evacuation, starts whose answers are lost, and a store that fails.
+func TestSoakWithEvacuations(t *testing.T) {
+	program := buildProgram(t)
+	for n := range int64(*seeds) {
+		t.Run(fmt.Sprintf("seed%d", *firstSeed+n), func(t *testing.T) {
+			s := newSoak(t, program, *firstSeed+n, spareHostTargets)
+			s.evacuations = true
+			s.run()
+		})
+	}
+}
+
+// evacuateZones evacuates one zone after the other and takes it into use again, until ctx ends.
+func (s *soak) evacuateZones(ctx context.Context, random *rand.Rand) {
+	for ctx.Err() == nil {
+		zone := stage.ZoneName(random.Intn(stage.ZoneCount))
+		s.platform.Evacuate(zone)
+		pause(ctx, minEvacuation+time.Duration(random.Int63n(int64(maxEvacuation-minEvacuation))))
+		s.platform.Revoke(zone)
+		pause(ctx, time.Duration(random.Int63n(int64(maxPause))))
+	}
+}
+
+// pause waits, or until ctx ends.
+func pause(ctx context.Context, length time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(length):
+	}
+}
+
 // deadlyRegressionSeeds are the seeds under which TestSoakWithDeadlyItems has failed:
 //
 //	209, 220, 405: an item was started after five targets had crashed under it, because other items were found guilty of its
@@ -156,6 +190,8 @@
 	// deadly means that some jobs have an item that crashes its targets.
 	deadly bool
 
+	// evacuations means that zones are evacuated and taken into use again.
+	evacuations bool
 	// cancellations means that other jobs are submitted and cancelled, and that the targets get faults of their own.
 	cancellations bool
 	// seriesEnd is when the present series of faults ends, if the test has calm times between them.
@@ -291,6 +327,14 @@
 			s.submitJobs(ctx, n)
 		}()
 	}
+	if s.evacuations {
+		callers.Add(1)
+		random := rand.New(rand.NewSource(s.Int63()))
+		go func() {
+			defer callers.Done()
+			s.evacuateZones(ctx, random)
+		}()
+	}
 	if s.cancellations {
 		s.playCancellations(ctx, &callers)
 		go s.checkCancelled(ctx)
