--- a/cmds/whycmd.go
+++ b/cmds/whycmd.go
@@ -14,14 +14,15 @@
 
 func whyCmd() command {
 	return command{
-		short: "show the log lines about a job, host, target, pool, queue or team",
+		short: "show the log lines about a job, host, target, pool, queue, team or zone",
 		long: `Usage: lavenderwing why NAME [FILE...]
 
 Reads the JSON log lines of one or more processes on the platform, from files or
 standard input, and prints the lines about NAME, ordered by time. Also prints,
 from between the first and the last of these lines, the lines about the targets
 that they name and those about the holder and the store. NAME is a job, host,
-target, pool, queue or team. Text before the first brace of a line is ignored.
+target, pool, queue, team or availability zone. Text before the first brace of a
+line is ignored.
 
 Example: lavenderwing why 5c0e7a21d94b36f8 edge1.log edge2.log`,
 		addFlags: func(c *Config, fs *flag.FlagSet) { fs.BoolVar(&c.json, "json", false, "print the lines as JSON") },
@@ -55,7 +56,17 @@
 			return true
 		}
 	}
-	return l.Subject != "" && containsName(l.Cause, name)
+	return l.Subject != "" && (containsName(l.Cause, name) || l.namesZone(name))
+}
+
+// namesZone reports whether the line's detail names an availability zone, as the lines about work that leaves an evacuated one do.
+func (l *logLine) namesZone(name string) bool {
+	for word := range strings.FieldsSeq(l.Detail) {
+		if word == "zone="+name {
+			return true
+		}
+	}
+	return false
 }
 
 // containsName reports whether the text contains the name as a whole, and not as a part of a longer name such as i-10 for i-1.
@@ -85,7 +96,7 @@
 
 func (c *Config) runWhy(args []string) error {
 	if len(args) == 0 {
-		return &UsageError{Message: "why needs the name of a job, host, target, pool, queue or team"}
+		return &UsageError{Message: "why needs the name of a job, host, target, pool, queue, team or zone"}
 	}
 	lines, err := c.readLogs(args[1:])
 	if err != nil {
--- a/sched/hostlist.go
+++ b/sched/hostlist.go
@@ -107,6 +107,9 @@
 		return
 	}
 	h.Host, h.listedAt = *w, now
+	if tgt, ok := t.targets[w.Target]; ok {
+		tgt.hostZone = w.Zone
+	}
 	if oldTarget != "" && oldTarget != w.Target {
 		t.handleGoneTarget(oldTarget, now, "host has a new target", !h.isOrderedAway())
 		if w.State != work.HostDown {
--- a/sched/plan.go
+++ b/sched/plan.go
@@ -23,7 +23,7 @@
 	}
 	// lastUnplaced holds, for each pool, the reservation of the last item that found no room although any target of the pool would do.
 	lastUnplaced := map[string]work.Resources{}
-	for _, c := range t.candidates(now) {
+	for _, c := range t.startableSteps(now) {
 		s := c.step
 		// An item that is at least as large as the last one that found no room in the pool finds none either.
 		pool, charge := s.job.queue.Pool, s.spec.Reservation()
@@ -153,6 +153,14 @@
 	return list
 }
 
+// startableSteps returns the candidates, and none while starts are suspended, so that no step counts as one without room.
+func (t *Table) startableSteps(now time.Duration) []candidate {
+	if t.startsSuspended {
+		return nil
+	}
+	return t.candidates(now)
+}
+
 // compareCandidates orders steps by five keys. Serving steps come first, because they are unavailable until they run. Then a lower priority number comes first. The third key is lateness, because late results are of less use. Fourth, teams within their share come before others. The last key is the slack, least first.
 func compareCandidates(a, b candidate) int {
 	switch {
--- a/sched/renew.go
+++ b/sched/renew.go
@@ -83,7 +83,7 @@
 		return "target is draining"
 	case tgt.evacuated:
 		// A repeated start must not reach the zone either, also if the answer to an earlier attempt is missing.
-		return "zone=" + t.zoneOf(tgt) + " is evacuated"
+		return "zone=" + tgt.zone() + " is evacuated"
 	case !t.knowsEvacuations(now):
 		return "operators' records were read long ago"
 	case !it.step.spec.Reservation().Fits(tgt.free().Add(it.step.spec.Reservation())):
--- a/sched/table.go
+++ b/sched/table.go
@@ -408,7 +408,10 @@
 	tgt.listed = true
 	t.claimAddress(tgt, now)
 	tgt.rack = w.Rack()
-	tgt.evacuated = t.isEvacuated(t.zoneOf(tgt))
+	if tgt.zone() == "" {
+		tgt.hostZone = t.findHostZone(tgt.ID)
+	}
+	tgt.evacuated = t.isEvacuated(tgt.zone())
 	if tgt.leaseExpiresAt == 0 && !tgt.acquired && len(tgt.runs) > 0 {
 		tgt.leaseExpiresAt = t.tookOverAt + inheritedLeaseDuration
 	}
--- a/sched/target.go
+++ b/sched/target.go
@@ -67,6 +67,8 @@
 	unanswered []delayedStart
 	// cordoned means that the target gets no new starts because its host is about to be moved or maintained.
 	cordoned bool
+	// hostZone is the zone of the target's host by the host list, empty if it is not known.
+	hostZone string
 	// evacuated means that operators have evacuated the target's zone, so that it gets no new starts.
 	evacuated bool
 	// hostOrderIssued means that the order for the target's host has been issued.
--- a/sched/zones.go
+++ b/sched/zones.go
@@ -20,24 +20,26 @@
 
 // evacuation is an evacuated zone.
 type evacuation struct {
+	// since is when this holder learned of it.
+	since time.Duration
 	// done means that it has been logged that nothing runs in the zone any more.
 	done bool
 }
 
 // SetEvacuated sets the zones that operators have evacuated and reports whether they have changed. Targets of a zone that is no longer among them are usable at once.
-func (t *Table) SetEvacuated(zones []string, _ time.Duration) bool {
+func (t *Table) SetEvacuated(zones []string, now time.Duration) bool {
 	changed := false
 	for _, zone := range zones {
 		if _, known := t.evacuations[zone]; !known {
-			t.evacuations[zone] = &evacuation{}
-			t.logEvent("evacuationBegan", zone, "operators", t.zoneLoad(zone).String())
+			t.evacuations[zone] = &evacuation{since: now}
+			t.logEvent("evacuationBegan", zone, "operators", t.describeEvacuation(zone, now))
 			changed = true
 		}
 	}
 	for _, zone := range slices.Sorted(maps.Keys(t.evacuations)) {
 		if !slices.Contains(zones, zone) {
+			t.logEvent("evacuationEnded", zone, "operators", t.describeEvacuation(zone, now))
 			delete(t.evacuations, zone)
-			t.logEvent("evacuationEnded", zone, "operators", t.zoneLoad(zone).String())
 			changed = true
 		}
 	}
@@ -77,13 +79,18 @@
 	return evacuated
 }
 
-// zoneOf returns the target's zone by its own entry or, if that names none, by the host list.
-func (t *Table) zoneOf(tgt *target) string {
-	if tgt.Zone != "" {
-		return tgt.Zone
+// zone returns the target's zone by its own entry or, if that names none, by the host list.
+func (t *target) zone() string {
+	if t.Zone != "" {
+		return t.Zone
 	}
+	return t.hostZone
+}
+
+// findHostZone returns the zone of the target's host by the last host list, empty if it is not known.
+func (t *Table) findHostZone(id work.TargetID) string {
 	for _, h := range t.sortedHosts {
-		if h.Target == tgt.ID {
+		if h.Target == id {
 			return h.Zone
 		}
 	}
@@ -104,22 +111,23 @@
 // markEvacuated marks the targets whose zones are evacuated.
 func (t *Table) markEvacuated() {
 	for _, tgt := range t.sortedTargets {
-		tgt.evacuated = len(t.evacuations) > 0 && t.isEvacuated(t.zoneOf(tgt))
+		tgt.evacuated = len(t.evacuations) > 0 && t.isEvacuated(tgt.zone())
 	}
 }
 
 // zoneLoad is what a zone's targets run.
 type zoneLoad struct{ targets, runs, serving int }
 
-// String returns the detail of an event about the zone.
-func (l zoneLoad) String() string {
-	return fmt.Sprintf("targets=%d runs=%d serving=%d", l.targets, l.runs, l.serving)
+// describeEvacuation returns the detail of an event about an evacuated zone.
+func (t *Table) describeEvacuation(zone string, now time.Duration) string {
+	l := t.zoneLoad(zone)
+	return fmt.Sprintf("targets=%d runs=%d serving=%d tookMs=%d", l.targets, l.runs, l.serving, (now - t.evacuations[zone].since).Milliseconds())
 }
 
 func (t *Table) zoneLoad(zone string) zoneLoad {
 	var l zoneLoad
 	for _, tgt := range t.sortedTargets {
-		if (!tgt.listed && len(tgt.runs) == 0) || t.zoneOf(tgt) != zone {
+		if (!tgt.listed && len(tgt.runs) == 0) || tgt.zone() != zone {
 			continue
 		}
 		l.targets++
@@ -142,7 +150,7 @@
 	t.strandedSteps = nil
 	if len(t.evacuations) > 0 {
 		t.evictFromZones(now)
-		t.reportEvacuated()
+		t.reportEvacuated(now)
 	}
 	for _, s := range former {
 		if s.stranded == 0 {
@@ -171,7 +179,7 @@
 				t.strand(it.step, now)
 				continue
 			}
-			t.logEvent("evacuated", it.id.String(), string(tgt.ID), "zone="+t.zoneOf(tgt))
+			t.logEvent("evacuated", it.id.String(), string(tgt.ID), "zone="+tgt.zone())
 			t.orderStop(it, now)
 		}
 	}
@@ -251,20 +259,18 @@
 }
 
 // reportEvacuated logs the evacuated zones in which nothing runs any more. While the zone of a target with runs is unknown, as after a takeover, none is.
-func (t *Table) reportEvacuated() {
+func (t *Table) reportEvacuated(now time.Duration) {
 	for _, tgt := range t.sortedTargets {
-		if len(tgt.runs) > 0 && t.zoneOf(tgt) == "" {
+		if len(tgt.runs) > 0 && tgt.zone() == "" {
 			return
 		}
 	}
 	for _, zone := range slices.Sorted(maps.Keys(t.evacuations)) {
-		load := t.zoneLoad(zone)
-		if e := t.evacuations[zone]; e.done != (load.runs == 0) {
-			e.done = load.runs == 0
-			if e.done {
-				t.logEvent("evacuationDone", zone, "nothing runs there any more", load.String())
-			}
+		e, done := t.evacuations[zone], t.zoneLoad(zone).runs == 0
+		if done && !e.done {
+			t.logEvent("evacuationDone", zone, "nothing runs there any more", t.describeEvacuation(zone, now))
 		}
+		e.done = done
 	}
 }
 
