--- a/sched/hostlist.go
+++ b/sched/hostlist.go
@@ -31,6 +31,7 @@
 		w.updateMissing(present, sent)
 	}
 	t.hostsListed = true
+	t.markEvacuated()
 	t.dropMissingTargets(list, sent, now)
 	sort.Slice(t.sortedHosts, func(a, b int) bool { return t.sortedHosts[a].Name < t.sortedHosts[b].Name })
 }
@@ -106,6 +107,9 @@
 		return
 	}
 	h.Host, h.listedAt = *w, now
+	if tgt, ok := t.targets[w.Target]; ok {
+		tgt.hostZone = w.Zone
+	}
 	if oldTarget != "" && oldTarget != w.Target {
 		t.handleGoneTarget(oldTarget, now, "host has a new target", !h.isOrderedAway())
 		if w.State != work.HostDown {
