Settle a contradicting entry by asking who answers

No entry ends a target: an address that two entries name belongs to the target that answers there, and an entry under a target's own key that contradicts what it has answered is kept until a later renewal settles it; the target gets no starts meanwhile.

--- a/sched/held.go
+++ b/sched/held.go
@@ -75,4 +75,9 @@
 		}
 	}
 	maps.DeleteFunc(t.heldEntries, func(id work.TargetID, _ heldEntry) bool { return !listed[id] })
+	for id := range t.disputed {
+		if !listed[id] {
+			t.endDispute(id)
+		}
+	}
 }
--- a/sched/incarnation.go
+++ b/sched/incarnation.go
@@ -33,6 +33,10 @@
 
 // handleReassignedAddress ends the present incarnation of a target whose address now belongs to another target, and unlists it.
 func (t *Table) handleReassignedAddress(tgt *target, now time.Duration) {
+	if tgt.entryOfAnotherStart() {
+		t.unlistFalseEntry(tgt)
+		return
+	}
 	for _, it := range tgt.runs {
 		// The other target rejects orders that name this one, so it cannot execute an unanswered start. Confirmed runs are revoked and requeued by endIncarnation.
 		it.confirmed = true
--- a/sched/plan.go
+++ b/sched/plan.go
@@ -13,6 +13,7 @@
 func (t *Table) Plan(now time.Duration) {
 	t.applyHeldEntries(now)
 	t.ExpireLeases(now)
+	t.applySettledEntries(now)
 	t.addDueOccurrences(now)
 	t.pruneActiveJobs()
 	t.endTrials(now)
--- a/sched/renew.go
+++ b/sched/renew.go
@@ -17,7 +17,7 @@
 	Trial bool
 	// ShortPoll means that the target should answer soon and not wait long for a run to end: a serving item is about to reach full speed, and until the reply shows that, no other item of its step may be evicted.
 	ShortPoll bool
-	// Needed is false if the target knows this holder, runs nothing, has no recorded end to forget, showed no unexpected run in its last reply, has answered the last call, and no start may still be delivered to it.
+	// Needed is false if the target knows this holder, runs nothing, no entry contradicts it, has no recorded end to forget, showed no unexpected run in its last reply, has answered the last call, and no start may still be delivered to it.
 	Needed bool
 	// Watched means that only a start that may still be delivered makes the renewal needed. The target may be polled for long.
 	Watched bool
@@ -34,13 +34,13 @@
 		return Renewal{}
 	}
 	r := Renewal{Unreachable: tgt.unreachable}
-	r.Needed = !tgt.acquired || tgt.missedCall || len(tgt.runs) > 0 || tgt.lastRecordedEnd > tgt.lastAcknowledgedEnd || tgt.orphanUsage != work.Resources{} || len(tgt.unexpected) > 0 || len(tgt.revoked) > 0
+	r.Needed = !tgt.acquired || tgt.disputed || tgt.missedCall || len(tgt.runs) > 0 || tgt.lastRecordedEnd > tgt.lastAcknowledgedEnd || tgt.orphanUsage != work.Resources{} || len(tgt.unexpected) > 0 || len(tgt.revoked) > 0
 	if !r.Needed {
 		// A start that is carried out late, or by the next incarnation, is noticed only in a reply.
 		r.Watched = tgt.mayReceiveDelayedStarts(now)
 		r.Needed = r.Watched
 	}
-	if tgt.lastRecordedEnd > tgt.lastAcknowledgedEnd && !tgt.missedCall {
+	if tgt.lastRecordedEnd > tgt.lastAcknowledgedEnd && !tgt.missedCall && !tgt.disputed {
 		// A new incarnation, which may get the renewal late, counts its ends anew and would forget those that it has not reported.
 		r.AcknowledgedEnd = tgt.lastRecordedEnd
 	}
@@ -81,6 +81,8 @@
 	switch {
 	case tgt.Draining && !it.sent:
 		return "target is draining"
+	case tgt.disputed:
+		return "target's entry contradicts it"
 	case !it.step.spec.Reservation().Fits(tgt.free().Add(it.step.spec.Reservation())):
 		return "target has shrunk"
 	case !t.knowsCapacity(tgt, now):
@@ -163,6 +165,8 @@
 		tgt.leaseExpiresAt = now + leaseDuration + leaseDuration/40 + leaseMargin
 	}
 	tgt.lastAcknowledgedEnd = max(tgt.lastAcknowledgedEnd, min(acknowledged, tgt.lastRecordedEnd))
+	t.settleDispute(tgt, sent)
+	t.settleAddress(tgt, sent, now)
 	t.stopRevokedRuns(tgt, now)
 	t.applyEnds(tgt, reply.Ended, now)
 	t.applyRuns(tgt, &reply, sent, now)
--- a/sched/table.go
+++ b/sched/table.go
@@ -35,7 +35,9 @@
 	poolsRenamed bool
 	// heldEntries holds the entries of targets whose pools the configuration does not name.
 	heldEntries map[work.TargetID]heldEntry
-	token       int64
+	// disputed holds the entries that contradict what their targets have answered.
+	disputed map[work.TargetID]disputedEntry
+	token    int64
 	// tookOverAt is when this holder took over.
 	tookOverAt time.Duration
 	// fencedAt is when the store began to reject the records of earlier holders.
@@ -46,7 +48,7 @@
 	targets    map[work.TargetID]*target
 	// sortedTargets holds the targets by identifier, so that decisions do not depend on the iteration order of the map.
 	sortedTargets []*target
-	// targetByAddress holds the target that has started last at each address.
+	// targetByAddress holds the target that has answered last at each address, or the first one that an entry named there if none has answered.
 	targetByAddress map[string]*target
 	// regularReports means that a target has reported itself again, so that a target that does not is cut off from the store.
 	regularReports bool
@@ -152,7 +154,7 @@
 		bounds: bounds, config: &work.Config{}, poolNames: map[string]bool{}, expired: map[jobKey]bool{}, unusedSince: map[string]time.Duration{}, jobs: map[work.JobID]*job{},
 		targets: map[work.TargetID]*target{}, targetByAddress: map[string]*target{}, usage: map[string]work.Resources{}, runStatsByQueue: map[string]*runStats{},
 		hosts: map[string]*host{}, hostRecords: map[string]work.HostOrderRecord{}, rejectedMoves: map[string]bool{},
-		heldEntries: map[work.TargetID]heldEntry{}, waves: map[int64]*waveState{}, pools: map[string]*poolState{}, trialQueues: map[string]trialQueue{},
+		heldEntries: map[work.TargetID]heldEntry{}, disputed: map[work.TargetID]disputedEntry{}, waves: map[int64]*waveState{}, pools: map[string]*poolState{}, trialQueues: map[string]trialQueue{},
 	}
 	for _, o := range opts {
 		o(t)
@@ -382,6 +384,11 @@
 		tgt.missedCall = true
 		return
 	}
+	if tgt.contradicts(&w) {
+		t.dispute(tgt, &w, now)
+		return
+	}
+	t.endDispute(w.ID)
 	if !tgt.listed {
 		t.logEvent("listed", string(w.ID), "store", w.Pool)
 	}
@@ -398,7 +405,9 @@
 	t.regularReports = t.regularReports || (tgt.listed && tgt.StartedMs == w.StartedMs)
 	tgt.Target, tgt.reportedAt = w, now
 	tgt.listed = true
-	t.claimAddress(tgt, now)
+	if t.targetByAddress[w.Address] == nil {
+		t.targetByAddress[w.Address] = tgt
+	}
 	tgt.rack = w.Rack()
 	if tgt.leaseExpiresAt == 0 && !tgt.acquired && len(tgt.runs) > 0 {
 		tgt.leaseExpiresAt = t.tookOverAt + inheritedLeaseDuration
@@ -413,33 +422,10 @@
 	return (t.listed && w.StartedMs < t.StartedMs) || (t.acquired && w.StartedMs < t.incarnation)
 }
 
-// claimAddress treats the target that had the address before as gone: an address has one target at a time, so its targets follow each other by their start.
-func (t *Table) claimAddress(tgt *target, now time.Duration) {
-	former := t.targetByAddress[tgt.Address]
-	if former != nil && former != tgt && (tgt.StartedMs == 0 || former.StartedMs == 0 || former.StartedMs >= tgt.StartedMs) {
-		return
-	}
-	t.targetByAddress[tgt.Address] = tgt
-	if former == nil || former == tgt || t.targets[former.ID] != former {
-		return
-	}
-	t.handleGoneTarget(former.ID, now, "another target has its address", !t.isOrderedAway(former))
-	t.forgetDelayedStarts(former.ID)
-}
-
-// isOrderedAway reports whether the target's host may be away for an order.
-func (t *Table) isOrderedAway(tgt *target) bool {
-	for _, h := range t.sortedHosts {
-		if h.Target == tgt.ID && h.isOrderedAway() {
-			return true
-		}
-	}
-	return false
-}
-
 // RemoveTarget applies the removal of a target's entry from the store.
 func (t *Table) RemoveTarget(id work.TargetID) {
 	delete(t.heldEntries, id)
+	t.endDispute(id)
 	if tgt, ok := t.targets[id]; ok && tgt.listed {
 		tgt.listed = false
 		t.targetsByPool = nil
--- a/sched/target.go
+++ b/sched/target.go
@@ -77,6 +77,9 @@
 	reserved   bool
 	trial      *job
 	trialSince time.Duration
+	// disputed means that the target's entry contradicts it, so that it may be a new incarnation, and disputedAt is when the last such dispute began.
+	disputed   bool
+	disputedAt time.Duration
 	// setAside means that this program cannot handle the target's replies.
 	setAside bool
 	// missingSince is when the first host list that lacks the unreachable target was requested, 0 while the list shows it.
@@ -144,7 +147,7 @@
 
 // available reports whether the target may get new starts.
 func (t *target) available(now time.Duration) bool {
-	return t.listed && t.acquired && !t.setAside && !t.Draining && !t.cordoned && !t.unreachable && len(t.revoked) == 0 && now >= t.quarantinedUntil
+	return t.listed && t.acquired && !t.setAside && !t.Draining && !t.cordoned && !t.unreachable && !t.disputed && len(t.revoked) == 0 && now >= t.quarantinedUntil
 }
 
 // extendLease returns the time on the target's clock until which a lease of the given length holds, or 0 while its clock is unknown, and notes when the lease has certainly expired.
