Let the newest record of a wave hold everywhere

Cause: a follower kept the first record of a wave, while the holder passed each one on to its table. Change: waves and configurations carry the offset of their record, and the later one holds in agent and table, in whatever order overlapping reads bring them. A complete wave that is written again with more hosts goes on with these; its progress record keeps the hosts it was completed with. A completion is reported only after the operators' topic has been read to its end. A configuration of the same version with other content replaces the one before, by its offset.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -122,6 +122,8 @@
 type configState struct {
 	config *work.Config
 	raw    []byte
+	// offset is that of the record in the operators' topic, peerOffset if another process sent the configuration.
+	offset int64
 	at     time.Duration
 }
 
--- a/agent/config.go
+++ b/agent/config.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"time"
@@ -8,7 +9,6 @@
 	"go.uber.org/zap"
 
 	"lavenderwing.example/lavenderwing/platform"
-	"lavenderwing.example/lavenderwing/work"
 )
 
 // Timeouts and pauses of calls to the store.
@@ -32,7 +32,7 @@
 	}
 }
 
-// readOperators applies what operators have written since the last read, and reports whether that is all. If there is nothing, the read waits up to poll for the first record. Reads may overlap, because applying a record again changes nothing.
+// readOperators applies what operators have written since the last read, and reports whether that is all. If there is nothing, the read waits up to poll for the first record. Reads may overlap, because a record never undoes a later one.
 func (a *Agent) readOperators(poll, timeout time.Duration) (bool, error) {
 	next := a.operatorOffset.Load()
 	var batch platform.UpdateBatch
@@ -65,33 +65,37 @@
 func (a *Agent) applyOperatorUpdate(u platform.Update) {
 	switch u := u.(type) {
 	case platform.ConfigUpdate:
-		a.applyConfig(u.Config, u.Raw, "store")
+		a.applyConfig(&configState{config: u.Config, raw: u.Raw, offset: u.Offset}, "store")
 	case platform.MalformedUpdate:
 		a.logMalformed("cannot decode a record of operators", u)
 	case platform.WaveUpdate:
 		a.mu.Lock()
-		_, known := a.waves[u.Wave.Number]
-		if !known {
-			a.waves[u.Wave.Number] = u.Wave
+		former, known := a.waves[u.Wave.Number]
+		isNew := !known || (u.Wave.Offset > former.Offset && !u.Wave.SameTerms(former))
+		if isNew {
 			a.waveSeenAt[u.Wave.Number] = a.clock.Now()
 		}
-		h, since := a.active, a.waveSeenAt[u.Wave.Number]
+		if !known || u.Wave.Offset > former.Offset {
+			a.waves[u.Wave.Number] = u.Wave
+		}
+		h, wave, since := a.active, a.waves[u.Wave.Number], a.waveSeenAt[u.Wave.Number]
 		a.mu.Unlock()
-		if !known {
+		if isNew {
 			a.log.Info("wave", zap.Int64("wave", u.Wave.Number), zap.Int("hosts", len(u.Wave.Hosts)), zap.Int("cap", u.Wave.MaxConcurrent), zap.Float64("deadlineS", u.Wave.DeadlineS))
 		}
 		if h != nil {
-			h.addWave(u.Wave, since)
+			h.addWave(wave, since)
 		}
 	}
 }
 
-// applyConfig puts a configuration in force unless the same or a later version is in force.
-func (a *Agent) applyConfig(c *work.Config, raw []byte, source string) {
-	next := &configState{config: c, raw: raw, at: a.clock.Now()}
+// applyConfig puts a configuration in force unless it is already, or a later one is.
+func (a *Agent) applyConfig(next *configState, source string) {
+	next.at = a.clock.Now()
+	c := next.config
 	for {
 		old := a.config.Load()
-		if old != nil && old.config.Version >= c.Version {
+		if old != nil && !next.replaces(old) {
 			return
 		}
 		if a.config.CompareAndSwap(old, next) {
@@ -101,8 +105,19 @@
 	a.meters.version.Update(float64(c.Version))
 	a.log.Info("configured", zap.Int64("version", c.Version), zap.String("source", source), zap.Int("queues", len(c.Queues)), zap.Int("teams", len(c.Teams)))
 	if h := a.activeHolder(); h != nil {
-		h.applyConfig(c)
+		h.applyConfig()
+	}
+}
+
+// peerOffset stands for the offset of a configuration that another process sent, and is below all others.
+const peerOffset = -1
+
+// replaces reports whether the configuration is put in force in place of another one. Its version decides, and among records of one version, as operators write them again, the order in the store.
+func (c *configState) replaces(old *configState) bool {
+	if c.config.Version != old.config.Version {
+		return c.config.Version > old.config.Version
 	}
+	return c.offset > old.offset && !bytes.Equal(c.raw, old.raw)
 }
 
 // applyRawConfig decodes and applies a configuration that another process sent.
@@ -115,7 +130,7 @@
 		a.log.Warn("cannot decode the configuration from a peer", zap.Error(err))
 		return
 	}
-	a.applyConfig(c, raw, source)
+	a.applyConfig(&configState{config: c, raw: raw, offset: peerOffset}, source)
 }
 
 // configVersion returns the version of the configuration in force, 0 without one.
--- a/agent/holder.go
+++ b/agent/holder.go
@@ -353,10 +353,10 @@
 	}
 }
 
-// applyConfig passes a new configuration to the table.
-func (h *Holder) applyConfig(c *work.Config) {
+// applyConfig passes the configuration that is in force to the table.
+func (h *Holder) applyConfig() {
 	h.mu.Lock()
-	h.table.Configure(c)
+	h.table.Configure(h.agent.config.Load().config)
 	h.mu.Unlock()
 	h.wakeLoop()
 }
--- a/agent/hosts.go
+++ b/agent/hosts.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -79,12 +80,23 @@
 	h.wakeLoop()
 }
 
+func (h *Holder) waveUpdates() []sched.WaveUpdate {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.table.WaveUpdates()
+}
+
 // reportWaves writes the status of waves to the store for operators.
 func (h *Holder) reportWaves() {
 	for sleep(h.ctx, waveStatusPause) {
-		h.mu.Lock()
-		updates := h.table.WaveUpdates()
-		h.mu.Unlock()
+		updates := h.waveUpdates()
+		if slices.ContainsFunc(updates, func(u sched.WaveUpdate) bool { return u.Completed }) {
+			// Operators may have added hosts that this process has not read yet.
+			if whole, err := h.agent.readOperators(0, storeTimeout); err != nil || !whole {
+				continue
+			}
+			updates = h.waveUpdates()
+		}
 		for _, u := range updates {
 			h.agent.meters.storeWrites.Inc(1)
 			if err := h.agent.store.WriteWaveStatus(u.Wave, u.Completed, storeTimeout); err != nil {
--- a/agent/recover.go
+++ b/agent/recover.go
@@ -40,9 +40,7 @@
 	if err := h.readLateDirect(progress, accepted, &direct, &next); err != nil {
 		return err
 	}
-	h.agent.mu.Lock()
-	waves, since := maps.Clone(h.agent.waves), maps.Clone(h.agent.waveSeenAt)
-	h.agent.mu.Unlock()
+	waves, since := h.agent.wavesRead()
 	h.fencedMs.Store(h.agent.clock.ProcessMs())
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -53,11 +51,19 @@
 	h.directOffsets = next
 	h.load(progress, accepted, slices.Concat(direct[:]...), past.jobs)
 	for number, w := range waves {
+		// The table ignores a record that is earlier than one which was read meanwhile.
 		h.table.AddWave(w, since[number])
 	}
 	return nil
 }
 
+// wavesRead returns the newest record of each wave that this process has read, and when it was.
+func (a *Agent) wavesRead() (map[int64]work.Wave, map[int64]time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return maps.Clone(a.waves), maps.Clone(a.waveSeenAt)
+}
+
 // readLateDirect reads those direct partitions again that may have changed between this holder's first read and the fence: the predecessor may have read, started and recorded a job, whose progress then belongs to no job that was read, or removed a job and its progress, which then looks like a new one.
 func (h *Holder) readLateDirect(progress, accepted []platform.Record, direct *[directPartitions][]platform.Record, next *[directPartitions]int64) error {
 	read, started := make(map[string]bool, len(accepted)), make(map[string]bool, len(progress))
--- a/sched/flush.go
+++ b/sched/flush.go
@@ -161,12 +161,7 @@
 		if !w.dirty {
 			continue
 		}
-		p := &work.WaveProgress{Completed: w.completed}
-		for _, name := range w.Hosts {
-			if w.begun[name] && !w.completed {
-				p.Started = append(p.Started, name)
-			}
-		}
+		p := &work.WaveProgress{Completed: w.completed, Started: slices.Sorted(maps.Keys(w.begun))}
 		value, err := work.Encode(p)
 		if err != nil {
 			return err
@@ -188,7 +183,8 @@
 	}
 	t.forgetRemoved(b.removed)
 	for _, r := range b.waves {
-		r.wave.recordedCompleted = r.completed
+		// A wave may have been reopened since the batch was made.
+		r.wave.recordedCompleted = r.completed && r.wave.completed
 	}
 	for _, a := range b.acks {
 		if a.target.incarnation == a.incarnation {
--- a/sched/host.go
+++ b/sched/host.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -77,8 +78,10 @@
 	// announced means that the operator's wave has been read. A holder may know the wave's progress earlier, but not its hosts.
 	announced   bool
 	announcedAt time.Duration
-	// begun holds the names of the hosts whose maintenance the cloud has accepted.
+	// begun holds the names of the hosts whose maintenance the cloud has accepted. Once the wave is complete it also holds those that are gone, and an empty name, so that its record is never empty.
 	begun map[string]bool
+	// hostsUnknown means that an earlier version recorded the completion, without the hosts.
+	hostsUnknown bool
 	// missingSince is when the first host list that lacks a host of the wave was requested.
 	missingSince map[string]time.Duration
 	completed    bool
@@ -101,10 +104,37 @@
 	return w
 }
 
-// AddWave adds an operator's wave that was announced at the given time, or updates the wave with the same number.
+// AddWave adds an operator's wave that was announced at the given time, or updates the wave with the same number; an earlier record of it is ignored. A complete wave that is announced with more hosts goes on with these.
 func (t *Table) AddWave(w work.Wave, announcedAt time.Duration) {
 	wave := t.ensureWave(w.Number)
+	if wave.announced && w.Offset < wave.Offset {
+		return
+	}
 	wave.Wave, wave.announced, wave.announcedAt = w, true, announcedAt
+	wave.reopen()
+}
+
+// reopen has a complete wave go on if its present announcement names hosts that it was completed without.
+func (w *waveState) reopen() {
+	if !w.announced || !w.completed {
+		return
+	}
+	if w.hostsUnknown {
+		// An earlier version did not record the hosts, and the wave was not written again since, as far as can be told.
+		w.hostsUnknown = false
+		w.settleHosts()
+	}
+	if slices.ContainsFunc(w.Hosts, func(name string) bool { return !w.begun[name] }) {
+		w.completed, w.recordedCompleted, w.reported, w.dirty = false, false, 0, true
+	}
+}
+
+// settleHosts notes that none of the present hosts awaits its maintenance any more.
+func (w *waveState) settleHosts() {
+	w.begun[""] = true
+	for _, name := range w.Hosts {
+		w.begun[name] = true
+	}
 }
 
 // orderName describes a host order in events.
--- a/sched/load.go
+++ b/sched/load.go
@@ -42,6 +42,8 @@
 	for _, name := range progress.Started {
 		wave.begun[name] = true
 	}
+	wave.hostsUnknown = progress.Completed && len(progress.Started) == 0
+	wave.reopen()
 	return nil
 }
 
--- a/sched/table.go
+++ b/sched/table.go
@@ -173,9 +173,9 @@
 
 func (t *Table) wallMs(now time.Duration) int64 { return t.wallOffset + now.Milliseconds() }
 
-// Configure applies a configuration and reports whether it is newer than the present one; an older one is ignored.
+// Configure applies a configuration and reports whether it replaces the present one; one of an earlier version is ignored.
 func (t *Table) Configure(c *work.Config) bool {
-	if c.Version <= t.config.Version {
+	if c.Version < t.config.Version || c == t.config {
 		return false
 	}
 	t.config = c
--- a/sched/wave.go
+++ b/sched/wave.go
@@ -37,6 +37,7 @@
 	if len(left) == 0 {
 		if t.hostsDown(w, nil, now) == 0 && t.missingHostsGone(w, now) {
 			w.completed, w.dirty = true, true
+			w.settleHosts()
 			t.logEvent("waveCompleted", orderName(HostOrder{Wave: w.Number}), "all hosts have begun maintenance", "")
 		}
 		return
@@ -258,9 +259,14 @@
 // MarkWaveReported records that a change has been reported to operators.
 func (t *Table) MarkWaveReported(u WaveUpdate) {
 	if w, ok := t.waves[u.Wave]; ok {
-		w.reported = 1
-		if u.Completed {
+		switch {
+		case !u.Completed:
+			w.reported = max(w.reported, 1)
+		case w.recordedCompleted:
 			w.reported = 2
+		default:
+			// The wave has been reopened meanwhile, and operators are to be told that it runs.
+			w.reported = 0
 		}
 	}
 }
--- a/work/record.go
+++ b/work/record.go
@@ -84,7 +84,7 @@
 // WaveProgress is the stored progress of a maintenance wave.
 type WaveProgress struct {
 	_ struct{} `cbor:",toarray"`
-	// Started lists the hosts whose maintenance the cloud has accepted, unless the wave is complete.
+	// Started lists the hosts whose maintenance the cloud has accepted. Once the wave is complete it also lists those that were gone, and an empty name if there are no hosts; earlier versions listed none then.
 	Started   []string
 	Completed bool
 }
--- a/work/target.go
+++ b/work/target.go
@@ -1,5 +1,7 @@
 package work
 
+import "slices"
+
 // TargetID identifies a target.
 type TargetID string
 
@@ -69,4 +71,11 @@
 	// DeadlineS is in seconds after the announcement of the wave.
 	DeadlineS     float64
 	MaxConcurrent int
+	// Offset is that of the wave's record in the operators' topic; a record with a higher one replaces it.
+	Offset int64
+}
+
+// SameTerms reports whether two records of a wave name the same hosts, deadline and number of hosts at once.
+func (w Wave) SameTerms(other Wave) bool {
+	return w.Number == other.Number && w.DeadlineS == other.DeadlineS && w.MaxConcurrent == other.MaxConcurrent && slices.Equal(w.Hosts, other.Hosts)
 }
