Start waiting work after losses of targets

The number of reserved targets was checked only when one was added, so all targets that are left after losses could stay reserved. Change: suspects behind an item without room are tried; the reservations of a pool are counted against its available targets in each plan; a target that is withheld from other waiting work for 2 s is released and not reserved again for 0.5 s; only suspects that may start now keep one.

--- a/sched/job.go
+++ b/sched/job.go
@@ -125,6 +125,8 @@
 	suspects      int
 	trialTarget   *target
 	trialWantedAt time.Duration
+	// noTrialBefore is when a job whose trial target was given to others, because it started nothing there, may reserve one again.
+	noTrialBefore time.Duration
 	// criticalPathsMs holds the expected time from each step's start to the job's end, computed when the queue had criticalPathsAtRuns finished runs.
 	criticalPathsMs     []float64
 	criticalPathsAtRuns float64
--- a/sched/modeltarget_test.go
+++ b/sched/modeltarget_test.go
@@ -42,6 +42,8 @@
 	leaseLapsedAt time.Duration
 	// replacement is the target that the host has had since this one crashed, nil if it keeps its name.
 	replacement *modelTarget
+	// lost means that the target is down for good.
+	lost bool
 	// unhealthyUntil is the time until which the target rejects orders, and hidden means that the host list lacks it while it is cut off.
 	unhealthyUntil time.Duration
 	hidden         bool
@@ -64,6 +66,9 @@
 		return
 	}
 	m.schedule(m.randomDuration(100*time.Millisecond, 4*time.Second), func() {
+		if t.lost {
+			return
+		}
 		t.alive, t.startedAt, t.incarnation = true, m.now, t.incarnation+10
 		t.token, t.lease, t.lastEnd, t.ends = 0, 0, 0, nil
 		t.lastRun = map[work.ItemID]int{}
@@ -88,6 +93,7 @@
 		}
 	}
 	m.cancels.check(m)
+	m.losses.check(m)
 	m.schedule(20*time.Millisecond, m.stepTargets)
 }
 
--- a/sched/plan.go
+++ b/sched/plan.go
@@ -195,7 +195,7 @@
 		t.placeGang(s, now)
 		return false
 	}
-	poolFull := false
+	poolFull, poolTried := false, false
 	s.noRoom = false
 	placed := 0
 	var first, last *target
@@ -203,6 +203,9 @@
 		if it.state != itemWaiting || now < it.notBefore || it.checkDelayedStart(now) {
 			continue
 		}
+		if poolTried && !it.suspect {
+			continue
+		}
 		if !t.withinTeamCap(s, 1) {
 			break
 		}
@@ -219,8 +222,14 @@
 				continue
 			}
 			s.markNoRoom(now)
+			t.noteWithheld(s, now)
 			poolFull = !s.needsAdvice() && s.spec.RequiredLabel == "" && s.spec.MaxPerTarget == 0
-			break
+			if s.job.suspects == 0 {
+				break
+			}
+			// The other items that need no trial find no room either, but targets may be reserved for the suspects behind them.
+			poolTried = true
+			continue
 		}
 		t.orderStart(it, tgt, now)
 		placed++
@@ -301,6 +310,9 @@
 		if tgt == nil {
 			t.releaseAll(chosen)
 			s.markNoRoom(now)
+			if !it.suspect {
+				t.noteWithheld(s, now)
+			}
 			if s.needsAdvice() {
 				t.requestAdvice(s, now)
 			}
--- a/sched/pools.go
+++ b/sched/pools.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"time"
 
 	"lavenderwing.example/lavenderwing/work"
@@ -81,15 +82,18 @@
 	t.logPools(pools, now)
 	t.cancelSurplusMoves()
 	spare := t.moveLabeledHosts(pools, t.spareHosts(pools, now), now)
-	for {
-		p := mostUnderprovisioned(pools)
+	short := slices.Clone(pools)
+	for len(spare) > 0 {
+		p := mostUnderprovisioned(short)
 		if p == nil {
 			break
 		}
 		var h *host
 		h, spare = t.takeSpare(spare, p.name)
 		if h == nil {
-			break
+			// The cloud has rejected the moves of all spare hosts to this pool.
+			short = slices.DeleteFunc(short, func(other *poolState) bool { return other == p })
+			continue
 		}
 		t.beginMove(h, p.name, now)
 		p.incoming++
--- a/sched/target.go
+++ b/sched/target.go
@@ -77,6 +77,13 @@
 	reserved   bool
 	trial      *job
 	trialSince time.Duration
+	// trialIdleSince is since when the reserved target has been without a trial, 0 during one.
+	trialIdleSince time.Duration
+	// withheld means that in the last plan an item that needs no trial found no room, but would have found it here without the reservation; withheldSince is since when that has been so in each plan, 0 if it was not so in the last one.
+	withheld      bool
+	withheldSince time.Duration
+	// noTrialBefore is when the target may be reserved again after a reservation that withheld it for too long.
+	noTrialBefore time.Duration
 	// setAside means that this program cannot handle the target's replies.
 	setAside bool
 	// missingSince is when the first host list that lacks the unreachable target was requested, 0 while the list shows it.
