Consolidate serving items on fewer hosts

Cause: a host with serving items is never spare. Change: serving items of steps that state MaxPerTarget go by preference to targets that already have serving items.

--- a/sched/evacuate.go
+++ b/sched/evacuate.go
@@ -9,7 +9,7 @@
 			continue
 		}
 		for _, it := range tgt.runs {
-			if it.step.spec.Serving && !it.stopping && it.confirmed && t.mayEvictOne(it.step, now) && (tgt.drainOverdue || t.pickTarget(it, now) != nil) {
+			if it.step.spec.Serving && !it.stopping && it.confirmed && t.mayEvictOne(it.step, now) && t.hasPlaceElsewhere(it, tgt, now) {
 				t.logEvent("evacuated", it.id.String(), string(tgt.ID), "target is draining")
 				t.orderStop(it, now)
 			}
@@ -17,6 +17,15 @@
 	}
 }
 
+// hasPlaceElsewhere reports whether a serving item may leave its draining target for another one. An item that leaves to make its host needless has to find room beside other serving items, and leaves only while all items of its step are available.
+func (t *Table) hasPlaceElsewhere(it *item, tgt *target, now time.Duration) bool {
+	if tgt.consolidating {
+		other := t.pickTarget(it, now)
+		return other != nil && other.hasServingItem() && t.countUnavailable(it.step) == 0
+	}
+	return tgt.drainOverdue || t.pickTarget(it, now) != nil
+}
+
 // mayEvictOne reports whether the step's disruption budget allows one more item to be evicted.
 func (t *Table) mayEvictOne(s *step, now time.Duration) bool {
 	if s.spec.MaxUnavailable == 0 {
--- a/sched/host.go
+++ b/sched/host.go
@@ -52,6 +52,8 @@
 	maybeExecuted bool
 	// oldTarget is the host's target when the order was first issued.
 	oldTarget work.TargetID
+	// consolidating means that the host is drained to bring its serving items to other hosts, as long as it has any.
+	consolidating bool
 	// emptyingSince is when the host's batch items were first stopped for the order.
 	emptyingSince time.Duration
 }
@@ -290,6 +292,9 @@
 			continue
 		}
 		forced := o.Wave > 0 && t.mustForceMaintenance(t.waves[o.Wave], h, now)
+		if o.consolidating && !t.isEmpty(h) {
+			continue
+		}
 		if t.mayTakeAway(h, forced, now) && (!forced || t.stopBatchRuns(h, now)) {
 			if !t.hostLimiter.take(now) {
 				return
@@ -303,7 +308,7 @@
 // markHostOrders marks the targets whose hosts have been ordered away, so that disruption budgets count their items as unavailable, and those whose hosts have drained for their maintenance for longer than maxDrainWait.
 func (t *Table) markHostOrders(now time.Duration) {
 	for _, tgt := range t.sortedTargets {
-		tgt.hostOrderIssued, tgt.drainOverdue = false, false
+		tgt.hostOrderIssued, tgt.drainOverdue, tgt.consolidating = false, false, false
 	}
 	for _, h := range t.sortedHosts {
 		tgt, ok := t.targets[h.Target]
@@ -312,6 +317,7 @@
 		}
 		o := h.order
 		tgt.hostOrderIssued = o.stage != stageDraining || o.maybeExecuted
+		tgt.consolidating = o.consolidating
 		tgt.drainOverdue = o.Wave > 0 && o.stage == stageDraining && now-o.stageSince > maxDrainWait
 	}
 }
--- a/sched/place.go
+++ b/sched/place.go
@@ -69,8 +69,10 @@
 	failedTargetPenalty = 8.0
 	// rackAffinityWeight keeps the items of a rack-sensitive step together.
 	rackAffinityWeight = 2.0
-	// spreadPenalty spreads the serving items of a step, so that the loss of a host takes only one of them.
+	// spreadPenalty spreads the serving items of a step that states no MaxPerTarget, so that the loss of a host takes only one of them.
 	spreadPenalty = 1.0
+	// servingAffinityWeight brings the serving items of steps that state MaxPerTarget together, so that hosts without serving items can be released. It outweighs how full a target is, but not a maintenance that is due.
+	servingAffinityWeight = 1.5
 	// maintenancePenalty keeps serving items from targets that are about to be maintained, as long as others have room.
 	maintenancePenalty = 3.0
 	// bestEffortPenalty keeps best-effort items, and serving items with a tail latency bound, from targets whose best-effort items would use much processor time.
@@ -99,7 +101,10 @@
 	if s.Serving && tgt.maintenanceDue {
 		score -= maintenancePenalty
 	}
-	if s.Serving && s.MaxUnavailable > 0 {
+	switch {
+	case s.Serving && s.MaxPerTarget > 0 && tgt.hasServingItem():
+		score += servingAffinityWeight
+	case s.Serving && s.MaxPerTarget == 0 && s.MaxUnavailable > 0:
 		score -= spreadPenalty * float64(countOnTarget(tgt, it.step))
 	}
 	if s.RackSensitive && rackHasItems(it.step, tgt) {
--- a/sched/pools.go
+++ b/sched/pools.go
@@ -44,7 +44,11 @@
 	laggedArrivalCPU float64
 	// surplusSince is when the pool began to have more hosts than it needs, 0 if it has no more.
 	surplusSince time.Duration
-	hosts        []*host
+	// rising means that the arriving work is expected to exceed its present average by a host or more.
+	rising bool
+	// consolidateAfter is the earliest time at which a host of the pool may be emptied of its serving items.
+	consolidateAfter time.Duration
+	hosts            []*host
 	// incoming is the number of hosts on their way to the pool, and minimum the least number that it should have.
 	incoming int
 	minimum  int
@@ -80,6 +84,7 @@
 	}
 	t.logPools(pools, now)
 	t.cancelSurplusMoves()
+	t.cancelConsolidations(now)
 	spare := t.moveLabeledHosts(pools, t.spareHosts(pools, now), now)
 	for {
 		p := mostUnderprovisioned(pools)
@@ -102,6 +107,7 @@
 			t.beginMove(h, standby.name, now)
 		}
 	}
+	t.consolidate(pools, standby, now)
 }
 
 // cancelSurplusMoves cancels moves to standby of hosts whose pool has become short, as long as their orders have not been issued.
@@ -115,9 +121,21 @@
 		if to == nil || from == nil || !to.standby || from.standby || len(from.hosts)+from.incoming >= from.wanted() {
 			continue
 		}
-		h.order = nil
-		t.setCordoned(h, false)
+		t.cancelSurplusMove(h, from, to)
+	}
+}
+
+// cancelSurplusMove cancels a host's move to standby whose order has not been issued; the pools are nil if they are no longer known.
+func (t *Table) cancelSurplusMove(h *host, from, to *poolState) {
+	if h.order.consolidating {
+		t.logEvent("consolidationCancelled", h.Name, h.Pool, fmt.Sprintf("serving items left: %d", t.servingItems(h)))
+	}
+	h.order = nil
+	t.setCordoned(h, false)
+	if from != nil {
 		from.hosts = append(from.hosts, h)
+	}
+	if to != nil {
 		to.incoming--
 	}
 }
@@ -174,10 +192,11 @@
 		c := &t.config.Pools[i]
 		p := t.ensurePool(c.Name)
 		p.standby = c.Standby
-		p.hosts, p.incoming, p.hostCPU, p.hostMemMB = p.hosts[:0], 0, 0, 0
 		p.minimum = max(minHosts, minHostsByPool[c.Name])
 		decayed := p.demand * math.Pow(demandRetainedPerSecond, (now-p.measuredAt).Seconds())
 		expectedCPU := p.updateForecast(now)
+		p.rising = (expectedCPU-p.arrivalAt(now))*headroomFactor > float64(p.hostCPU)
+		p.hosts, p.incoming, p.hostCPU, p.hostMemMB = p.hosts[:0], 0, 0, 0
 		p.demand, p.measuredAt = max(float64(p.waiting-p.late+p.running+p.serving), decayed, expectedCPU+float64(p.serving)), now
 		pools = append(pools, p)
 	}
--- a/sched/target.go
+++ b/sched/target.go
@@ -71,6 +71,8 @@
 	hostOrderIssued bool
 	// drainOverdue means that the target's host has drained for its maintenance for longer than maxDrainWait.
 	drainOverdue bool
+	// consolidating means that the target's host is drained to bring its serving items to other hosts.
+	consolidating bool
 	// maintenanceDue means that a wave has yet to maintain the target's host.
 	maintenanceDue bool
 	// reserved means that the target starts nothing but suspects; trial is the job whose suspects are tried there, and trialSince is since when.
