Size pools by the peaks of their arriving work

Cause: a pool follows the arrivals of the last second. Hosts are ordered when a peak has begun, the trend and the memory of demand hold too many near its top and after its end, and waiting work is counted as if nothing were done about it while hosts move. A stop of a consolidated serving item could come while the store does not write, so that its next start would wait. Hosts are ordered ahead of a peak that recurs, a peak like the last one is sized by its height at once, a risen peak by its arrivals and what will be left of the backlog, and hosts leave at its end without the memory. No host is emptied of serving items while a batch has been unwritten for half a second, or shortly before a predicted peak.

--- a/agent/retain.go
+++ b/agent/retain.go
@@ -108,14 +108,17 @@
 	return h.table.MayBeStoredDirectly(id)
 }
 
-// reportJobs updates the metrics of the jobs that the holder knows, and returns the number of those whose retention is over.
+// reportJobs updates the metrics of the jobs that the holder knows and of the pools' forecasts, and returns the number of those whose retention is over.
 func (h *Holder) reportJobs() int {
 	h.mu.Lock()
-	counts, backlog := h.table.CountJobs(), h.table.CountExpired(h.agent.clock.Now())
+	counts, backlog, forecasts := h.table.CountJobs(), h.table.CountExpired(h.agent.clock.Now()), h.table.PoolForecasts()
 	h.mu.Unlock()
 	for state := work.Queued; state <= work.Cancelled; state++ {
 		h.agent.meters.scope.Tagged(map[string]string{"state": state.String()}).Gauge("jobs").Update(float64(counts[state]))
 	}
+	for pool, cpu := range forecasts {
+		h.agent.meters.scope.Tagged(map[string]string{"pool": pool}).Gauge("pool_forecast").Update(cpu)
+	}
 	h.agent.meters.backlog.Update(float64(backlog))
 	return backlog
 }
--- a/sched/apportion.go
+++ b/sched/apportion.go
@@ -29,7 +29,7 @@
 	return max(int(math.Ceil(demand*headroomFactor/float64(p.hostCPU)))-p.minimum, 0)
 }
 
-// apportion divides the hosts among the pools: first each pool's minimum, then the hosts for jobs that can still meet their objective, and from the rest the hosts for late jobs. If there are too few for one of the last two, pools get them in proportion to their needs.
+// apportion divides the hosts among the pools: first each pool's minimum, then the hosts for jobs that can still meet their objective, then the hosts for late jobs, and from the rest the hosts for predicted peaks. If there are too few for one of the last three, pools get them in proportion to their needs.
 func apportion(pools []*poolState, hosts int) {
 	for _, p := range pools {
 		p.wantedHosts = 0
@@ -39,9 +39,12 @@
 		}
 	}
 	hosts = distribute(pools, hosts, func(p *poolState) int { return p.hostsFor(p.demand) })
-	distribute(pools, hosts, func(p *poolState) int {
+	hosts = distribute(pools, hosts, func(p *poolState) int {
 		return p.hostsFor(p.demand+lateDemandWeight*float64(p.late)) - p.hostsFor(p.demand)
 	})
+	distribute(pools, hosts, func(p *poolState) int {
+		return max(p.hostsFor(p.aheadCPU+float64(p.serving))-p.hostsFor(p.demand+lateDemandWeight*float64(p.late)), 0)
+	})
 }
 
 // minimumNow is the pool's minimum, raised if serving items fit no host: free capacity may be fragmented although its sum is enough. The pool then gets the hosts that the items would fill and one more, but at most one host per item.
--- a/sched/consolidate.go
+++ b/sched/consolidate.go
@@ -16,13 +16,18 @@
 	consolidationTimeout = 5 * time.Second
 	// consolidationPause is the time after a cancelled attempt in which the pool begins no other one, so that the causes do not cordon one host after another.
 	consolidationPause = 5 * time.Second
+	// maxWriteDelay is how long a batch may be under way to the store before no item is moved: a stop needs no record, but the next start does, and a write usually takes some hundredths of a second.
+	maxWriteDelay = 500 * time.Millisecond
 )
 
 // consolidate begins to empty a host in each pool that has had more hosts with serving items than it needs hosts.
 func (t *Table) consolidate(pools []*poolState, standby *poolState, now time.Duration) {
+	if t.isStoreSlow(now) {
+		return
+	}
 	consolidating, maintained := t.poolsInChange()
 	for _, p := range pools {
-		if p.standby || p.rising || p.surplusSince == 0 || now-p.surplusSince < consolidationDelay || now < p.consolidateAfter || consolidating[p.name] || maintained[p.name] {
+		if p.standby || p.rising || p.surplusSince == 0 || now-p.surplusSince < consolidationDelay || now < p.consolidateAfter || consolidating[p.name] || maintained[p.name] || p.peaks.ExpectedWithin(now, expectedPeakTime) {
 			continue
 		}
 		n, ok := pack.Choose(t.packPool(p, now))
@@ -40,6 +45,11 @@
 	}
 }
 
+// isStoreSlow reports whether the store has not confirmed a batch for maxWriteDelay.
+func (t *Table) isStoreSlow(now time.Duration) bool {
+	return t.unwrittenSince > 0 && now-t.unwrittenSince >= maxWriteDelay
+}
+
 // poolsInChange returns as consolidating the pools in which a host has serving items that are to leave it, and as maintained those of which a wave has hosts in maintenance or has yet to maintain some, so that serving items are moved anyway.
 func (t *Table) poolsInChange() (consolidating, maintained map[string]bool) {
 	consolidating, maintained = map[string]bool{}, map[string]bool{}
--- a/sched/evacuate.go
+++ b/sched/evacuate.go
@@ -21,7 +21,7 @@
 func (t *Table) hasPlaceElsewhere(it *item, tgt *target, now time.Duration) bool {
 	if tgt.consolidating {
 		other := t.pickTarget(it, now)
-		return other != nil && other.hasServingItem() && t.countUnavailable(it.step) == 0
+		return other != nil && other.hasServingItem() && t.countUnavailable(it.step) == 0 && !t.isStoreSlow(now)
 	}
 	return tgt.drainOverdue || t.pickTarget(it, now) != nil
 }
--- a/sched/flush.go
+++ b/sched/flush.go
@@ -98,6 +98,9 @@
 	if err := t.flushRunStats(b, now); err != nil {
 		return nil, err
 	}
+	if len(b.Entries) > 0 {
+		t.unwrittenSince = now
+	}
 	for _, tgt := range t.sortedTargets {
 		if tgt.lastAppliedEnd > tgt.lastRecordedEnd {
 			b.acks = append(b.acks, ack{target: tgt, incarnation: tgt.incarnation, number: tgt.lastAppliedEnd})
@@ -180,6 +183,7 @@
 
 // Flushed records that the store holds a batch.
 func (t *Table) Flushed(b *Batch) {
+	t.unwrittenSince = 0
 	for i, j := range b.jobs {
 		j.recordedState, j.recordedCancelled = b.states[i], b.cancelled[i]
 		if j.recordedState.Final() && !t.hasRuns(j) {
--- a/sched/pools.go
+++ b/sched/pools.go
@@ -5,6 +5,7 @@
 	"math"
 	"time"
 
+	"lavenderwing.example/lavenderwing/peaks"
 	"lavenderwing.example/lavenderwing/work"
 )
 
@@ -44,6 +45,16 @@
 	laggedArrivalCPU float64
 	// surplusSince is when the pool began to have more hosts than it needs, 0 if it has no more.
 	surplusSince time.Duration
+	// peaks remembers the peaks of the arriving work, and aheadCPU is the work in millicores of a peak that is predicted to begin before hosts ordered now have moved.
+	peaks    peaks.Tracker
+	aheadCPU float64
+	// forecastCPU is the work in millicores for which the pool should have hosts by its arrivals and predicted peaks.
+	forecastCPU float64
+	// steady means that a peak has risen, and peakEnded that one has just ended: its demand is what is seen now.
+	steady    bool
+	peakEnded bool
+	// unfinishedWork is the work in millicore-seconds of waiting and running items.
+	unfinishedWork float64
 	// rising means that the arriving work is expected to exceed its present average by a host or more.
 	rising bool
 	// consolidateAfter is the earliest time at which a host of the pool may be emptied of its serving items.
@@ -103,7 +114,7 @@
 		return
 	}
 	for _, h := range spare {
-		if p := t.pools[h.Pool]; p != nil && p != standby && p.surplusSince > 0 && now-p.surplusSince >= surplusDelay {
+		if p := t.pools[h.Pool]; p != nil && p != standby && p.surplusSince > 0 && (p.peakEnded || now-p.surplusSince >= surplusDelay) {
 			t.beginMove(h, standby.name, now)
 		}
 	}
@@ -177,7 +188,7 @@
 func (t *Table) measurePools(now time.Duration) []*poolState {
 	minHostsByPool := map[string]int{}
 	for _, p := range t.pools {
-		p.waiting, p.running, p.serving, p.late = 0, 0, 0, 0
+		p.waiting, p.running, p.serving, p.late, p.unfinishedWork = 0, 0, 0, 0, 0
 		p.unplacedCPU, p.unplacedCount, p.labelDemands = 0, 0, p.labelDemands[:0]
 	}
 	for _, j := range t.activeJobs {
@@ -194,10 +205,18 @@
 		p.standby = c.Standby
 		p.minimum = max(minHosts, minHostsByPool[c.Name])
 		decayed := p.demand * math.Pow(demandRetainedPerSecond, (now-p.measuredAt).Seconds())
-		expectedCPU := p.updateForecast(now)
+		expectedCPU := t.sizeByPeaks(p, p.updateForecast(now), now)
+		if p.steady || p.peakEnded {
+			decayed = 0
+		}
+		p.forecastCPU = max(expectedCPU, p.aheadCPU)
 		p.rising = (expectedCPU-p.arrivalAt(now))*headroomFactor > float64(p.hostCPU)
+		present := float64(p.waiting - p.late + p.running)
+		if p.steady {
+			present = min(present, expectedCPU+t.backlogCPU(p, expectedCPU))
+		}
 		p.hosts, p.incoming, p.hostCPU, p.hostMemMB = p.hosts[:0], 0, 0, 0
-		p.demand, p.measuredAt = max(float64(p.waiting-p.late+p.running+p.serving), decayed, expectedCPU+float64(p.serving)), now
+		p.demand, p.measuredAt = max(present+float64(p.serving), decayed, expectedCPU+float64(p.serving)), now
 		pools = append(pools, p)
 	}
 	for _, h := range t.sortedHosts {
@@ -272,6 +291,10 @@
 		p.addLabelDemand(s, waiting, cpu)
 	}
 	p.waiting += int64(waiting) * cpu
+	if !s.spec.Serving {
+		seconds := t.ensureRunStats(j.queue.Name).expectedMs(s.spec.EstimateMs) / 1000
+		p.unfinishedWork += float64(int64(waiting)*cpu)*seconds + float64(int64(ordered)*cpu)*seconds/2
+	}
 	if waiting > 0 && !s.spec.Serving && t.slack(s, now) < 0 {
 		p.late += int64(waiting) * cpu
 	}
--- a/sched/table.go
+++ b/sched/table.go
@@ -69,6 +69,8 @@
 
 	// dirty holds the jobs whose progress has changed since the last batch.
 	dirty []*job
+	// unwrittenSince is when the batch was taken that the store is writing, 0 if there is none.
+	unwrittenSince time.Duration
 	// orders may be sent at once, pendingStarts only after the batch that records them has been written.
 	orders        []Order
 	pendingStarts []Order
