End the lease of a target that a cut keeps silent

Cause: each attempt of a renewal or a start moved the time at which the target's lease counted as expired, also if it got no answer, was refused as unhealthy, or found no connection. Change: sched/lease.go keeps apart what a target is known to have got, what unanswered calls may have granted, and calls under way. After an unanswered call, further ones extend the lease by at most 1 s beyond the last one before it, and carry none once it may be over. A call that was certainly not sent is void: no connection, one that had been reset before a byte was written (platform.requestConn), or a holder that may not renew. A target that restarted under this holder counts with its longest lease, because calls may have carried a lease by its former clock. Tests: the model gets two variants with cuts of 6 to 20 s, in which calls are not sent, lost, or carried out late.

--- a/agent/driver.go
+++ b/agent/driver.go
@@ -123,6 +123,9 @@
 		}
 		// A LeaseExpiryMs of 0 means that the call extends no lease: the target runs nothing or its clock is not known yet.
 		if r.LeaseExpiryMs > 0 && !h.checkMayRenew() {
+			h.mu.Lock()
+			h.table.LeaseUnsent(d.id, r.Lease)
+			h.mu.Unlock()
 			if !d.pause(renewRetryPause) {
 				return
 			}
@@ -150,11 +153,20 @@
 	now := h.agent.clock.Now()
 	d.applyReply("renewal's reply", func() {
 		switch {
+		case isUnsent(err):
+			h.table.LeaseUnsent(d.id, r.Lease)
+			h.table.CallUnanswered(d.id, now)
 		case err != nil:
+			h.table.LeaseUnanswered(d.id, r.Lease)
 			h.table.CallUnanswered(d.id, now)
 		case reply.Status == work.OrderWrongTarget && d.isReplaced():
 			// Another target has the former address, which says nothing about this one.
 		default:
+			if reply.Status == work.OrderDone {
+				h.table.LeaseGranted(d.id, r.Lease)
+			} else {
+				h.table.LeaseUnanswered(d.id, r.Lease)
+			}
 			h.table.RenewalAnswered(d.id, reply, r.AcknowledgedEnd, sent, now)
 		}
 	})
@@ -166,8 +178,8 @@
 		return true
 	case err != nil, reply.Status == work.OrderUnhealthy:
 		return d.pause(renewRetryPause)
-	// The reply has told the target's clock, and the next renewal can extend the lease without a pause.
-	case r.ClockUnknown && reply.Status == work.OrderDone:
+	// The reply has told the target's clock, or that the target is there, and the next renewal can extend the lease without a pause.
+	case (r.ClockUnknown || r.Unconfirmed) && reply.Status == work.OrderDone:
 		return true
 	case r.Trial:
 		return d.pause(trialRenewPause)
@@ -222,8 +234,8 @@
 			return
 		default:
 		}
-		if err := d.sendOrder(o); err != nil {
-			d.requeueOrder(o, err)
+		if sent, err := d.sendOrder(o); err != nil {
+			d.requeueOrder(sent, err)
 			if !d.pause(orderRetryPause) {
 				return
 			}
@@ -239,16 +251,29 @@
 		d.lossyUntil.Store(int64(d.holder.agent.clock.Now() + lossyPeriod))
 		attempts.recordOutstanding(made)
 	}
+	if isUnsent(err) && attempts.maybeSent(made) {
+		return reply, &platform.NoResponseError{Address: d.address, Cause: errLaterAttempt}
+	}
 	return reply, err
 }
 
-// startAttempts counts the attempts of one start that the target has answered.
+// errLaterAttempt is the cause of a start's failure whose last attempt was not sent, while an earlier one may have been.
+var errLaterAttempt = errors.New("an earlier attempt may have been sent")
+
+// isUnsent reports whether a call certainly was not sent.
+func isUnsent(err error) bool {
+	var unsent *platform.UnsentError
+	return errors.As(err, &unsent)
+}
+
+// startAttempts counts the attempts of one start that the target has answered, and those that were certainly not sent.
 type startAttempts struct {
 	driver *driver
 	order  sched.StartOrder
 
 	mu       sync.Mutex
 	answered int
+	unsent   int
 	// made is the number of attempts, 0 until the table knows that some of them are unanswered.
 	made int
 }
@@ -256,12 +281,16 @@
 // call makes one attempt. If its answer is the last that was missing, the table forgets that any was.
 func (s *startAttempts) call() (work.OrderReply, error) {
 	reply, err := s.driver.client.StartRun(s.order.Start, orderTimeout)
-	if err != nil {
+	if err != nil && !isUnsent(err) {
 		return reply, err
 	}
 	s.mu.Lock()
-	s.answered++
-	settled := s.answered == s.made
+	if err == nil {
+		s.answered++
+	} else {
+		s.unsent++
+	}
+	settled := s.answered+s.unsent == s.made
 	s.mu.Unlock()
 	if settled {
 		h := s.driver.holder
@@ -269,7 +298,14 @@
 		h.table.StartSettled(s.order)
 		h.mu.Unlock()
 	}
-	return reply, nil
+	return reply, err
+}
+
+// maybeSent reports whether one of the attempts that were made may have been sent.
+func (s *startAttempts) maybeSent(made int) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.unsent < made
 }
 
 // recordOutstanding tells the table that attempts are unanswered, unless all have been answered meanwhile.
@@ -279,7 +315,7 @@
 	defer h.mu.Unlock()
 	s.mu.Lock()
 	s.made = made
-	outstanding := s.answered < made
+	outstanding := s.answered+s.unsent < made
 	s.mu.Unlock()
 	if outstanding {
 		h.table.StartOutstanding(s.order, h.agent.clock.Now())
@@ -328,9 +364,13 @@
 		h.agent.log.Error("target sent an unexpected reply", zap.String("target", string(d.id)), zap.Error(err))
 	}
 	h.mu.Lock()
-	if start, ok := o.(sched.StartOrder); ok {
+	start, isStart := o.(sched.StartOrder)
+	switch {
+	case isStart && isUnsent(err):
+		h.table.StartUnsent(start, h.agent.clock.Now())
+	case isStart:
 		h.table.StartUnanswered(start, h.agent.clock.Now())
-	} else {
+	default:
 		h.table.CallUnanswered(d.id, h.agent.clock.Now())
 	}
 	h.mu.Unlock()
@@ -339,8 +379,8 @@
 	d.mu.Unlock()
 }
 
-// sendOrder sends one order unless it is no longer needed, and applies the target's reply.
-func (d *driver) sendOrder(o sched.Order) error {
+// sendOrder sends one order unless it is no longer needed, and applies the target's reply. It returns the order as it was sent.
+func (d *driver) sendOrder(o sched.Order) (sched.Order, error) {
 	h := d.holder
 	now := h.agent.clock.Now()
 	h.mu.Lock()
@@ -353,7 +393,10 @@
 	if !needed {
 		// The item of a withdrawn start waits for another target.
 		h.wakeLoop()
-		return nil
+		return o, nil
+	}
+	if isStart {
+		o = start
 	}
 	var reply work.OrderReply
 	var err error
@@ -368,7 +411,7 @@
 		reply, err = d.client.Throttle(o.Item, o.Run, o.Percent, h.epoch, orderTimeout)
 	}
 	if err != nil {
-		return err
+		return o, err
 	}
 	d.applyReply("answer to an order", func() {
 		now = h.agent.clock.Now()
@@ -388,5 +431,5 @@
 	if reply.Status != work.OrderDone {
 		h.wakeLoop()
 	}
-	return nil
+	return o, nil
 }
--- a/agent/driver_test.go
+++ b/agent/driver_test.go
@@ -3,11 +3,13 @@
 import (
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"github.com/valyala/fasthttp"
 
 	"lavenderwing.example/lavenderwing/fake"
+	"lavenderwing.example/lavenderwing/platform"
 	"lavenderwing.example/lavenderwing/sched"
 	"lavenderwing.example/lavenderwing/work"
 )
@@ -66,3 +68,50 @@
 	present.applyRenewal(&sched.Renewal{}, wrong, nil, 0)
 	is.Equal(len(h.table.Targets()), 0) // its own address belongs to another one
 }
+
+// TestUnsentStartIsToldFromALostOne guards against a start that is taken for one that may still be carried out although no connection was opened, and against the contrary when one of its attempts was sent.
+func TestUnsentStartIsToldFromALostOne(t *testing.T) {
+	is := is.New(t)
+	_, h := newTestAgent(t)
+	start := sched.StartOrder{Target: "i-1", Start: work.StartRequest{Run: 1, FencingToken: 1}}
+	_, err := newDriver(h, "i-1", fake.LoopbackAddresses(1)[0]).startRun(start)
+	is.True(isUnsent(err)) // nobody listens there
+	silent := fake.LoopbackAddresses(1)[0]
+	lost := make(chan struct{})
+	startServer(t, is, silent, func(*fasthttp.RequestCtx) { <-lost })
+	defer close(lost)
+	_, err = newDriver(h, "i-1", silent).startRun(start)
+	is.True(err != nil && !isUnsent(err)) // the target may have carried it out
+	attempts := &startAttempts{unsent: 2}
+	is.True(attempts.maybeSent(3) && !attempts.maybeSent(2))
+}
+
+// TestRenewalThatIsNotSentExtendsNoLease guards against work that is not restarted while its target is behind a cut, because each renewal that finds no connection counts as one that may have extended the lease.
+func TestRenewalThatIsNotSentExtendsNoLease(t *testing.T) {
+	for name, test := range map[string]struct {
+		err  error
+		busy int
+	}{
+		"not sent":  {&platform.UnsentError{Address: "a"}, 0},
+		"no answer": {&platform.NoResponseError{Address: "a"}, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			_, h := newTestAgent(t)
+			h.table.Configure(&work.Config{Version: 1, Queues: []work.Queue{{Name: "q", Pool: "p"}}, Pools: []work.Pool{{Name: "p"}}})
+			h.table.UpsertTarget(work.Target{ID: "i-1", Pool: "p", Address: "a", Capacity: work.Resources{CPU: 1000, MemMB: 100}, StartedMs: 2}, time.Second)
+			h.table.RenewalAnswered("i-1", work.RenewalReply{ClockMs: 1000, StartedMs: 2}, 0, time.Second, time.Second)
+			h.table.Accept(&work.Job{ID: "0000000000000001", Queue: "q", Steps: []work.Step{{Count: 1, Demand: work.Resources{CPU: 1, MemMB: 1}}}}, time.Second)
+			h.table.Plan(time.Second)
+			is.Equal(h.table.CountBusyTargets(), 1)
+			d := newDriver(h, "i-1", "a")
+			d.close() // so that it does not pause after a renewal
+			// The item's lease ends 5.3 s after it was placed, if no renewal extends it.
+			r := h.table.PrepareRenewal("i-1", 4*time.Second)
+			is.True(r.LeaseExpiryMs > 0)
+			d.applyRenewal(&r, work.RenewalReply{}, test.err, 4*time.Second)
+			h.table.ExpireLeases(7 * time.Second)
+			is.Equal(h.table.CountBusyTargets(), test.busy)
+		})
+	}
+}
--- a/sched/answer.go
+++ b/sched/answer.go
@@ -47,7 +47,9 @@
 			t.endEarlierIncarnation(tgt, it, now)
 		}
 		present = tgt.recordAnswer(reply.ClockMs, now)
+		tgt.leaseUnconfirmed = tgt.leaseUnconfirmed && reply.Status == work.OrderUnhealthy
 	}
+	tgt.endLeaseCall(o.Lease, reply.Status == work.OrderDone)
 	if it.state != itemOrdered || it.target != tgt || it.run != o.Start.Run {
 		return
 	}
@@ -84,7 +86,8 @@
 		// The next renewal reply shows the incarnation to which the run belongs.
 		it.incarnation = 0
 		tgt.charge(it)
-		tgt.leaseExpiresAt = now + leaseDuration + leaseDuration/40 + leaseMargin
+		// The start carried a lease by the clock of the former incarnation.
+		tgt.leaseExpiresAt = now + lapseTime(max(leaseDuration, t.bounds.MaxLease))
 	}
 }
 
@@ -121,6 +124,7 @@
 		return
 	}
 	tgt.recordAnswer(reply.ClockMs, now)
+	tgt.leaseUnconfirmed = tgt.leaseUnconfirmed && reply.Status == work.OrderUnhealthy
 	if reply.Status != work.OrderDone {
 		t.logEvent("stopRefused", o.Item.String(), string(o.Target), fmt.Sprintf("run=%d %s", o.Run, reply.Status))
 		return
--- a/sched/incarnation.go
+++ b/sched/incarnation.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -67,8 +68,8 @@
 			t.orderStop(it, now)
 			// The crash is counted, and the next incarnation is not to begin the run.
 			it.sent, it.incarnation = false, 0
-			// The next incarnation may run the item for one lease; leaseDuration/40 allows for its clock being up to 2% slow.
-			tgt.leaseExpiresAt = now + leaseDuration + leaseDuration/40 + leaseMargin
+			// The next incarnation may run the item for the longest lease, because the start carries one by the clock of the former incarnation.
+			tgt.leaseExpiresAt = now + lapseTime(max(leaseDuration, t.bounds.MaxLease))
 			n++
 			continue
 		}
@@ -109,9 +110,19 @@
 // StartUnanswered records that a start got no answer and may still be delivered, and that its target is unreachable.
 func (t *Table) StartUnanswered(o StartOrder, now time.Duration) {
 	t.CallUnanswered(o.Target, now)
+	t.LeaseUnanswered(o.Target, o.Lease)
 	t.StartOutstanding(o, now)
 }
 
+// StartUnsent records that a start was certainly not sent, because no connection to its target could be opened.
+func (t *Table) StartUnsent(o StartOrder, now time.Duration) {
+	t.CallUnanswered(o.Target, now)
+	t.LeaseUnsent(o.Target, o.Lease)
+	if it := t.findItem(o.Start.Item); it != nil && it.state == itemOrdered && it.target.ID == o.Target && it.run == o.Start.Run && !o.resent {
+		it.sent = false
+	}
+}
+
 // StartOutstanding records that an attempt of a start got no answer and may still be delivered, although another attempt may have been answered.
 func (t *Table) StartOutstanding(o StartOrder, now time.Duration) {
 	tgt, ok := t.targets[o.Target]
@@ -168,10 +179,11 @@
 // ExpireLeases requeues the items of targets whose leases have expired even by the slowest clock that a target may have.
 func (t *Table) ExpireLeases(now time.Duration) {
 	for _, tgt := range t.sortedTargets {
-		if len(tgt.runs) == 0 || tgt.leaseExpiresAt == 0 || now < tgt.leaseExpiresAt {
+		end := tgt.leaseEnd()
+		if len(tgt.runs) == 0 || end == 0 || now < end {
 			continue
 		}
-		t.logEvent("expired", string(tgt.ID), "lease", tgt.Address)
+		t.logEvent("expired", string(tgt.ID), "lease", fmt.Sprintf("%s answeredMs=%d grantedMs=%d", tgt.Address, (now-tgt.clockAt).Milliseconds(), (now-tgt.leaseExpiresAt).Milliseconds()))
 		for len(tgt.runs) > 0 {
 			t.logInterrupted(tgt.runs[0], "lease expired", now)
 			t.loseRun(tgt.runs[0], now)
--- a/sched/modelcancel_test.go
+++ b/sched/modelcancel_test.go
@@ -39,6 +39,8 @@
 	unhealthy bool
 	// staleHosts has the host list lag, hiddenHosts lack targets that are cut off, and downHosts show the hosts of crashed targets as down.
 	staleHosts, hiddenHosts, downHosts bool
+	// longCuts has cuts last from 6 to 20 s, in which a call is certainly not sent, lost, or carried out late without an answer, during the cut or after it. Some runs outlast their leases. An incarnation that the sender of a call does not know carries no late one out and grants no lease, because by the platform's pages it answers that it is not meant.
+	longCuts bool
 	// slowEntries has the store's entries read late, and the newest ones again at times.
 	slowEntries bool
 
@@ -72,6 +74,8 @@
 		{"leases", func(m *model) { m.cancels.lateRenewals, m.cancels.leaseFromArrival = true, true }},
 		{"down", func(m *model) { m.cancels.downHosts = true }},
 		{"entries", func(m *model) { m.cancels.slowEntries = true }},
+		{"cuts", func(m *model) { m.cancels.longCuts = true }},
+		{"cutsAndLateRenewals", func(m *model) { m.cancels.longCuts, m.cancels.lateRenewals, m.cancels.unhealthy = true, true, true }},
 		{"deadly", func(m *model) { m.crashes.enabled = true }},
 		{"replaced", func(m *model) { m.crashes.enabled, m.cancels.staleHosts = true, true }},
 	})
@@ -192,7 +196,12 @@
 	case n == 2:
 		t.partitioned, t.hidden = true, c.hiddenHosts && m.Intn(2) == 0
 		c.trace(m, "%s is cut off, hidden %v", t.id, t.hidden)
-		m.schedule(m.randomDuration(500*time.Millisecond, 7*time.Second), func() { t.partitioned, t.hidden = false, false })
+		least, limit := 500*time.Millisecond, 7*time.Second
+		if c.longCuts {
+			least, limit = 6*time.Second, 20*time.Second
+			c.expectRestart(m, t)
+		}
+		m.schedule(m.randomDuration(least, limit), func() { t.partitioned, t.hidden = false, false })
 	case len(m.jobs) > 0:
 		c.cancel(m, m.jobs[m.Intn(len(m.jobs))].ID)
 		m.schedule(m.randomDuration(0, 200*time.Millisecond), m.takeOver)
@@ -299,6 +308,9 @@
 	r.startedAt, r.late = m.now, t.lateOrderSentAt > 0
 	if step.Serving {
 		r.until = 2 * modelDeadline
+	} else if c.longCuts && m.Intn(3) == 0 {
+		// Some runs outlast their leases.
+		r.until = m.now + m.randomDuration(5*time.Second, 9*time.Second)
 	}
 	c.trace(m, "%s: start of %v run %d, late %v, lease until %d of %d", t.id, s.Item, s.Run, r.late, t.lease, t.clock(m.now))
 	if at, ok := c.acknowledged[s.Item.Job]; ok && !r.late && m.now-at > modelCancelTime {
@@ -527,3 +539,25 @@
 	is.True(table.Cancel(record.ID, 0)) // the store does not hold the cancellation
 	return table, before
 }
+
+// modelCutRestart is how long after the beginning of a cut a holder may count on runs that it ordered before: the longest lease of the model's targets, which one that has restarted may have got, and the time until the cut is noticed. TestWorkBehindACutIsRequeued has the bound for other targets.
+const modelCutRestart = 12500 * time.Millisecond
+
+// expectRestart checks that runs on a target that is cut off from now on are requeued, unless the cut ends before that.
+func (c *modelCancels) expectRestart(m *model, t *modelTarget) {
+	began := m.now
+	t.cutAt = began
+	m.schedule(modelCutRestart, func() {
+		for _, h := range m.holders {
+			tgt := h.table.targets[t.id]
+			if tgt == nil || !t.partitioned || t.cutAt != began || !h.alive || h.superseded || h.tookOverAt > began {
+				continue
+			}
+			for _, it := range tgt.runs {
+				if it.orderedAt < began {
+					m.reportViolation("LOST: holder %d counts on %v run %d, which it ordered at %v to %s, cut off since %v", h.epoch, it.id, it.run, it.orderedAt, t.id, began)
+				}
+			}
+		}
+	})
+}
--- a/sched/modeldriver_test.go
+++ b/sched/modeldriver_test.go
@@ -110,9 +110,18 @@
 	t, incarnation := d.target, d.target.incarnation
 	unanswered := func() { d.renewalUnanswered(r) }
 	if !d.reachable(t) {
+		if d.drawsUnsent() {
+			d.table.LeaseUnsent(t.id, r.Lease)
+			d.schedule(modelDialTime, unanswered)
+			return
+		}
+		d.deliverThroughCut(t, func() { t.renew(d.model, *r, d.epoch) })
 		d.schedule(poll+modelCallTimeout, unanswered)
 		return
 	}
+	if d.cancels.longCuts && !d.knowsIncarnation(t) {
+		r.LeaseExpiryMs = 0
+	}
 	t.renew(d.model, *r, d.epoch)
 	d.schedule(poll, func() {
 		if !d.reachable(t) || t.incarnation != incarnation {
@@ -124,10 +133,15 @@
 		after.AcknowledgedEnd = 0
 		reply := t.renew(d.model, after, d.epoch)
 		d.schedule(d.randomDuration(time.Millisecond, 30*time.Millisecond), func() {
+			if reply.Status == work.OrderDone {
+				d.table.LeaseGranted(t.id, r.Lease)
+			} else {
+				d.table.LeaseUnanswered(t.id, r.Lease)
+			}
 			d.table.RenewalAnswered(t.id, reply, r.AcknowledgedEnd, sent, d.now)
 			d.dispatch(d.table.TakeOrders())
 			pause := d.randomDuration(120*time.Millisecond, 300*time.Millisecond)
-			if r.ClockUnknown {
+			if r.ClockUnknown || (r.Unconfirmed && d.cancels.longCuts) {
 				pause = 0
 			}
 			d.schedule(pause, d.renewLoop)
@@ -135,7 +149,40 @@
 	})
 }
 
+// modelDialTime is how long it takes until a connection is found to be refused.
+const modelDialTime = 5 * time.Millisecond
+
+// drawsUnsent draws whether a call to the target, which is cut off, is certainly not sent.
+func (d *modelDriver) drawsUnsent() bool {
+	return d.cancels.longCuts && d.target.partitioned && d.Intn(3) == 0
+}
+
+// deliverThroughCut draws whether a call to a target that is cut off is carried out later, during the cut or after it, without an answer. Only the incarnation that the holder knows carries it out: by the platform's pages, any other one answers that it is not meant.
+func (h *modelHolder) deliverThroughCut(t *modelTarget, carryOut func()) {
+	if !h.cancels.longCuts || !t.partitioned || h.Intn(2) == 0 {
+		return
+	}
+	incarnation, sentAt := t.incarnation, h.now
+	if !h.knowsIncarnation(t) {
+		return
+	}
+	h.schedule(h.randomDuration(0, maxModelDelay), func() {
+		if t.alive && t.incarnation == incarnation {
+			t.lateOrderSentAt = sentAt
+			carryOut()
+			t.lateOrderSentAt = 0
+		}
+	})
+}
+
+// knowsIncarnation reports whether the holder knows the target's present incarnation.
+func (h *modelHolder) knowsIncarnation(t *modelTarget) bool {
+	tgt := h.table.targets[t.id]
+	return tgt != nil && tgt.incarnation == t.incarnation
+}
+
 func (d *modelDriver) renewalUnanswered(r *Renewal) {
+	d.table.LeaseUnanswered(d.target.id, r.Lease)
 	d.table.CallUnanswered(d.target.id, d.now)
 	pause := time.Duration(0)
 	if r.Unreachable {
@@ -191,6 +238,10 @@
 
 // sendOrder makes one attempt of an order, or one that is carried out late and half of the time a second one that is not.
 func (d *modelDriver) sendOrder(o Order) {
+	if d.drawsUnsent() {
+		d.schedule(modelDialTime, func() { d.orderUnsent(o) })
+		return
+	}
 	unanswered := func() { d.schedule(modelCallTimeout, func() { d.orderUnanswered(o) }) }
 	late := d.isLate()
 	if late {
@@ -206,6 +257,15 @@
 	}
 }
 
+func (d *modelDriver) orderUnsent(o Order) {
+	if s, ok := o.(StartOrder); ok {
+		d.table.StartUnsent(s, d.now)
+	}
+	d.table.CallUnanswered(d.target.id, d.now)
+	d.orders = append(d.orders, o)
+	d.schedule(modelOrderRetry, d.sendLoop)
+}
+
 func (d *modelDriver) orderUnanswered(o Order) {
 	if s, ok := o.(StartOrder); ok {
 		d.table.StartUnanswered(s, d.now)
@@ -218,9 +278,10 @@
 // isLate draws whether a call gets no answer and is carried out late.
 func (d *modelDriver) isLate() bool { return d.now < modelFaultPeriod && d.Intn(lateCallShare) == 0 }
 
-// deliverLate carries a call out after a short or a long delay. It reaches a new incarnation only after revocationGrace, or with earlyDelivery at once, also if it comes while the target is down.
+// deliverLate carries a call out after a short or a long delay. It reaches a new incarnation only after revocationGrace, or with earlyDelivery at once, also if it comes while the target is down; with longCuts it reaches none that the holder did not know when it sent the call.
 func (d *modelDriver) deliverLate(what string, carryOut func()) {
 	t, incarnation, sentAt := d.target, d.target.incarnation, d.now
+	meant := !d.cancels.longCuts || d.knowsIncarnation(t)
 	delay := d.randomDuration(2*time.Second, maxModelDelay)
 	if d.Intn(3) == 0 {
 		delay = d.randomDuration(50*time.Millisecond, 2*time.Second)
@@ -229,6 +290,9 @@
 	var arrive func()
 	arrive = func() {
 		early := t.incarnation != incarnation && d.now-t.startedAt <= revocationGrace
+		if d.cancels.longCuts && (!meant || t.incarnation != incarnation) {
+			return
+		}
 		switch {
 		case !t.alive && d.cancels.earlyDelivery && d.now-sentAt < maxModelDelay:
 			d.schedule(5*time.Millisecond, arrive)
--- a/sched/modelholder_test.go
+++ b/sched/modelholder_test.go
@@ -236,6 +236,7 @@
 func (h *modelHolder) callNow(t *modelTarget, o Order, outstanding bool, unanswered, again func()) {
 	h.schedule(h.randomDuration(time.Millisecond, 30*time.Millisecond), func() {
 		if !h.reachable(t) {
+			h.deliverThroughCut(t, func() { h.execute(t, o) })
 			unanswered()
 			return
 		}
--- a/sched/modeltarget_test.go
+++ b/sched/modeltarget_test.go
@@ -28,8 +28,10 @@
 	lateOrderSentAt time.Duration
 	alive           bool
 	partitioned     bool
-	startedAt       time.Duration
-	incarnation     int64
+	// cutAt is when the last cut began whose runs are expected to be requeued.
+	cutAt       time.Duration
+	startedAt   time.Duration
+	incarnation int64
 	// clockRate is the speed of the target's clock.
 	clockRate float64
 	token     int64
--- a/sched/order.go
+++ b/sched/order.go
@@ -9,6 +9,9 @@
 type StartOrder struct {
 	Target work.TargetID
 	Start  work.StartRequest
+	// Lease identifies the call of a prepared start, and resent means that an earlier one may have been sent.
+	Lease  LeaseCall
+	resent bool
 }
 
 // StopOrder ends a run, or prevents its start if that has not arrived yet.
--- a/sched/renew.go
+++ b/sched/renew.go
@@ -9,8 +9,11 @@
 
 // Renewal holds the parameters of a lease renewal at a target.
 type Renewal struct {
-	// LeaseExpiryMs is the time on the target's clock until which the lease holds, 0 while that clock is unknown or the target runs nothing.
+	// LeaseExpiryMs is the time on the target's clock until which the lease holds, 0 while that clock is unknown, the target runs nothing, or it has not answered for a whole lease. Lease identifies the call, whose outcome is to be recorded.
 	LeaseExpiryMs int64
+	Lease         LeaseCall
+	// Unconfirmed means that a call before got no answer, so that the renewal extends the lease by less than usual.
+	Unconfirmed bool
 	// AcknowledgedEnd is the sequence number of the last run end that the store holds; the target may forget ends up to it.
 	AcknowledgedEnd int64
 	// Trial means that an item is on trial on the target, which is asked without a poll, since each reply shows that it is running.
@@ -27,7 +30,7 @@
 	ClockUnknown bool
 }
 
-// PrepareRenewal returns the next renewal of a target's lease. If the target runs something, it also moves the time at which the lease has certainly expired.
+// PrepareRenewal returns the next renewal of a target's lease. If the target runs something, it also moves the time at which the lease has certainly expired, which LeaseUnsent undoes.
 func (t *Table) PrepareRenewal(id work.TargetID, now time.Duration) Renewal {
 	tgt, ok := t.targets[id]
 	if !ok {
@@ -45,8 +48,14 @@
 		r.AcknowledgedEnd = tgt.lastRecordedEnd
 	}
 	if len(tgt.runs) > 0 {
-		r.LeaseExpiryMs = tgt.extendLease(now, leaseDuration)
+		r.Unconfirmed = tgt.leaseUnconfirmed
+		r.LeaseExpiryMs, r.Lease = tgt.extendLease(now)
 		r.ClockUnknown = r.LeaseExpiryMs == 0
+		if r.LeaseExpiryMs <= tgt.showsAtMost(now) {
+			// The lease may have expired, and a renewal without one still collects what the target has to report.
+			tgt.voidLeaseCall(r.Lease)
+			r.LeaseExpiryMs, r.Lease = 0, 0
+		}
 	}
 	r.Trial = tgt.reserved && len(tgt.runs) > 0
 	for _, it := range tgt.runs {
@@ -70,8 +79,8 @@
 		t.withdrawStart(it, cause, now)
 		return o, false
 	}
-	it.sent = true
-	o.Start.LeaseExpiryMs = tgt.extendLease(now, leaseDuration)
+	o.resent, it.sent = it.sent, true
+	o.Start.LeaseExpiryMs, o.Lease = tgt.extendLease(now)
 	return o, true
 }
 
@@ -117,7 +126,7 @@
 	if !ok {
 		return
 	}
-	tgt.missedCall = true
+	tgt.missedCall, tgt.leaseUnconfirmed = true, true
 	if tgt.unreachable {
 		return
 	}
@@ -139,6 +148,8 @@
 		t.handleReassignedAddress(tgt, now)
 		return
 	case work.OrderUnhealthy:
+		// Whether a refused renewal extends the lease is not known, so the next ones extend it no further.
+		tgt.leaseUnconfirmed = true
 		t.quarantine(tgt, now, "unhealthy")
 		return
 	}
@@ -151,18 +162,19 @@
 		t.logEvent("answers", string(id), "renewal", tgt.Address)
 	}
 	tgt.recordAnswer(reply.ClockMs, now)
-	tgt.answeredAt, tgt.missedCall, tgt.doubtful = now, false, false
+	tgt.answeredAt, tgt.missedCall, tgt.doubtful, tgt.leaseUnconfirmed = now, false, false, false
 	tgt.readingMs, tgt.readingSentAt = reply.ClockMs, sent
 	tgt.incarnation = max(tgt.incarnation, reply.StartedMs)
 	if !tgt.acquired {
-		// The target now knows this holder's fencing token and rejects renewals of earlier holders, so their leases end within one leaseDuration, extended by a slow clock for less than leaseDuration/40. Stops may have been ordered before the target could get them; a stop time this far back makes applyRuns order them again at once.
+		// The target now knows this holder's fencing token and rejects renewals of earlier holders, so their leases end within the longest one. Stops may have been ordered before the target could get them; a stop time this far back makes applyRuns order them again at once.
 		tgt.acquired = true
 		for _, it := range tgt.runs {
 			if !restarted {
 				it.stopOrderedAt = -stopRepeatInterval
 			}
 		}
-		tgt.leaseExpiresAt = now + leaseDuration + leaseDuration/40 + leaseMargin
+		tgt.leaseExpiresAt = now + t.longestLease(tgt, reply.ClockMs)
+		tgt.restarted = false
 	}
 	tgt.lastAcknowledgedEnd = max(tgt.lastAcknowledgedEnd, min(acknowledged, tgt.lastRecordedEnd))
 	t.settleDispute(tgt, sent)
--- a/sched/target.go
+++ b/sched/target.go
@@ -36,8 +36,15 @@
 	// readingMs is the target's clock in its last renewal reply, and readingSentAt when that renewal was sent, so that the clock showed less then.
 	readingMs     int64
 	readingSentAt time.Duration
-	// leaseExpiresAt is when the target has certainly ended its runs unless its lease is renewed.
-	leaseExpiresAt time.Duration
+	// leaseExpiresAt is when the lease has certainly expired that the target is known to have got, or to be left with from an earlier holder or incarnation. leasePossibleUntil is the same of the leases that unanswered calls may have granted, and leaseCalls holds the calls under way, see leaseEnd.
+	leaseExpiresAt, leasePossibleUntil time.Duration
+	leaseCalls                         []leaseCall
+	lastLeaseCall                      LeaseCall
+	// restarted means that calls may have carried leases by the clock of a former incarnation, and no renewal has been answered since.
+	restarted bool
+	// leaseUnconfirmed means that a call has got no answer, or a renewal was refused, since the last answer. leaseAskedAt is when the last call before that with a lease was prepared.
+	leaseUnconfirmed bool
+	leaseAskedAt     time.Duration
 	// lastAppliedEnd is the sequence number of the last run end that was applied, lastRecordedEnd that of the last one that the store holds, and lastAcknowledgedEnd that of the last one that the target has been told to forget.
 	lastAppliedEnd      int64
 	lastRecordedEnd     int64
@@ -106,8 +113,10 @@
 // forgetIncarnation forgets what the target has reported in an incarnation that is over.
 func (t *target) forgetIncarnation() {
 	t.answeredAt, t.doubtful = 0, false
+	t.restarted = t.restarted || t.clockAt != 0
 	t.acquired, t.lastAppliedEnd, t.lastRecordedEnd, t.lastAcknowledgedEnd = false, 0, 0, 0
-	t.clockAt, t.clockMs, t.readingMs, t.leaseExpiresAt = 0, 0, 0, 0
+	t.clockAt, t.clockMs, t.readingMs, t.leaseExpiresAt, t.leasePossibleUntil, t.leaseAskedAt = 0, 0, 0, 0, 0, 0
+	t.leaseCalls = nil
 	t.orphanUsage, t.unexpected = work.Resources{}, nil
 	t.incarnation = 0
 }
@@ -150,19 +159,6 @@
 	return t.listed && t.acquired && !t.setAside && !t.Draining && !t.cordoned && !t.unreachable && !t.disputed && len(t.revoked) == 0 && now >= t.quarantinedUntil
 }
 
-// extendLease returns the time on the target's clock until which a lease of the given length holds, or 0 while its clock is unknown, and notes when the lease has certainly expired.
-func (t *target) extendLease(now, length time.Duration) int64 {
-	if t.clockAt == 0 {
-		return 0
-	}
-	elapsed := time.Duration(float64(now-t.clockAt) * minClockRate)
-	until := t.clockMs + (elapsed + length).Milliseconds()
-	// The clock showed clockMs at clockAt or earlier, and has run at the slowest rate since.
-	expires := t.clockAt + time.Duration(float64(until-t.clockMs)/minClockRate)*time.Millisecond + leaseMargin
-	t.leaseExpiresAt = max(t.leaseExpiresAt, expires)
-	return until
-}
-
 // maxClockLag is how far a target's clock may be behind what its last answer and the slowest rate predict, since answers may overtake each other. That of a new incarnation is further behind, because it was down in between.
 const maxClockLag = 50 * time.Millisecond
 
