Give no job up for crashes that left its starts unanswered

Change: package blame holds one table of what a crash counts, and when an item is given up: after two prompt crashes under runs that were seen on the targets, or three seen ones if some show late with the target silent right after the start. Unanswered starts count only towards trials alone and pauses of up to 32 s. An inherited run counts as seen since the takeover.

--- a/sched/crash.go
+++ b/sched/crash.go
@@ -5,24 +5,15 @@
 	"slices"
 	"time"
 
+	"lavenderwing.example/lavenderwing/blame"
 	"lavenderwing.example/lavenderwing/work"
 )
 
-// Crashes of targets. An item may crash each target that starts it, and a crash says nothing about its cause. The runs that were not seen active for crashWindow before the crash are suspects. A suspect is started again only in a trial: on a target that starts nothing else meanwhile, so that a second crash has one possible cause, and its job fails. Every crash also counts against all items that ran there, since an item may crash its target later than crashWindow; after isolationCrashes it is tried on a target without other runs, until it ends.
+// Crashes of targets. An item may crash each target that starts it, and a crash says nothing about its cause. The runs that were not seen active for crashWindow before the crash are suspects. A suspect is started again only in a trial: on a target that starts nothing else meanwhile, so that a second crash has one possible cause, and its job fails. Every crash also counts against all items that were seen to run there, since an item may crash its target later than crashWindow; after blame.IsolationCrashes it is tried on a target without other runs, until it ends. What a crash counts, and when an item is given up, is decided by package blame.
 
 const (
-	// crashWindow is how long a run has to be seen active to be cleared of a crash; an item that crashes its target usually does so within milliseconds of the start.
-	crashWindow = 250 * time.Millisecond
-	// maxCrashAge is how long a run has to be seen active to be cleared of all crashes.
-	maxCrashAge = 2 * time.Second
-	// guiltyCrashes is the number of crashes under an item after which a trial that ends with a crash fails its job, if the target was seen to run the item and the crash showed within promptCrash.
-	guiltyCrashes = 2
-	// promptCrash is how long after a target's last sign of life its crash may show to be attributed to a start before. One that shows later may have come after a cut.
-	promptCrash = 2 * time.Second
-	// isolationCrashes is the number of crashes after which an item is tried on a target of its own, and after which its job fails also if a target was never seen to run it or the crash showed late.
-	isolationCrashes = 3
-	// maxCrashes is the number of crashes after which an item is not started again, with or without a trial.
-	maxCrashes = 4
+	crashWindow = blame.ClearWindow
+	maxCrashAge = blame.MaxAge
 )
 
 // crash is a crash of a target whose cause is not known.
@@ -30,10 +21,10 @@
 	involved []involvement
 }
 
-// involvement says that an item ran on a target that crashed, whether that counts in item.crashes, and whether the item was a suspect.
+// involvement says that an item ran on a target that crashed, what that counts, and whether the item was a suspect.
 type involvement struct {
 	item      *item
-	counted   bool
+	count     blame.Count
 	suspected bool
 }
 
@@ -70,28 +61,31 @@
 	var guilty, usedUp []*item
 	for _, it := range tgt.runs {
 		suspected := slices.Contains(suspects, it)
-		counted := t.countCrash(it, tgt)
+		count := t.countCrash(it, tgt, now)
 		switch {
-		case suspected && it.onTrial && it.isGuilty(tgt, now):
+		case suspected && it.onTrial && it.crashes.Guilty(count):
 			guilty = append(guilty, it)
-		case it.crashes >= maxCrashes:
+		case it.crashes.UsedUp():
 			usedUp = append(usedUp, it)
 		}
-		if suspected || it.crashes >= isolationCrashes {
+		if suspected && count == blame.Unanswered {
+			it.notBefore = max(it.notBefore, now+it.crashes.Pause())
+		}
+		if suspected || it.crashes.Isolated() {
 			it.seenBeforeCrash = 0
 			if it.seen() {
 				it.seenBeforeCrash = max(tgt.answeredAt-it.confirmedAt, 0)
 			}
 			t.setSuspect(it, true)
 		}
-		if suspected || counted {
-			c.involved = append(c.involved, involvement{item: it, counted: counted, suspected: suspected})
+		if suspected || count != blame.None {
+			c.involved = append(c.involved, involvement{item: it, count: count, suspected: suspected})
 			it.unexplained = append(it.unexplained, c)
 		}
 	}
 	first := ""
 	if len(suspects) > 0 {
-		first = fmt.Sprintf(" first=%s crashes=%d", suspects[0].id, suspects[0].crashes)
+		first = fmt.Sprintf(" first=%s %s", suspects[0].id, suspects[0].crashText())
 	}
 	t.logEvent("crashed", string(tgt.ID), tgt.Pool, fmt.Sprintf("runs=%d suspects=%d trial=%t%s", len(tgt.runs), len(suspects), tgt.trial != nil, first))
 	if len(guilty) == 0 {
@@ -100,20 +94,24 @@
 	return guilty
 }
 
-// countCrash counts a crash against an item that ran on the target, and reports whether it does. One of which only an earlier holder or nobody knows whether it ran is not counted the first time.
-func (t *Table) countCrash(it *item, tgt *target) bool {
-	if !it.sent || (!it.seen() && !it.suspect) || it.provenFor(tgt, maxCrashAge) {
-		return false
+// countCrash counts a crash against an item that was ordered to the target, and returns what it counts.
+func (t *Table) countCrash(it *item, tgt *target, now time.Duration) blame.Count {
+	run := blame.Run{Sent: it.sent, Seen: it.seen()}
+	if run.Seen {
+		run.Active = max(tgt.answeredAt-it.confirmedAt, 0)
+		run.Silent = now - max(it.confirmedAt, tgt.answeredAt)
 	}
-	it.crashes++
-	t.markDirty(it.step.job)
-	return true
+	count := blame.Judge(run)
+	if count != blame.None {
+		it.crashes = it.crashes.Add(count)
+		t.markDirty(it.step.job)
+	}
+	return count
 }
 
-// isGuilty reports whether an item whose trial ended with a crash has caused it. Crashes that another item explains count here too, since both may crash their targets.
-func (it *item) isGuilty(tgt *target, now time.Duration) bool {
-	prompt := it.seen() && now-max(it.confirmedAt, tgt.answeredAt) <= promptCrash
-	return it.crashes >= isolationCrashes || (it.crashes+it.explained >= guiltyCrashes && prompt)
+// crashText describes the crashes that count against the item, for the log.
+func (it *item) crashText() string {
+	return fmt.Sprintf("crashes=%d late=%d unanswered=%d", it.crashes.Prompt, it.crashes.Late, it.crashes.Unanswered)
 }
 
 // seen reports whether the target has confirmed the run to this holder, in the incarnation to which it was ordered.
@@ -151,7 +149,7 @@
 
 // failJobOf fails the job of an item that crashes its targets, and clears the items of other jobs of the crashes that it is involved in.
 func (t *Table) failJobOf(it *item, now time.Duration) {
-	t.logEvent("failed", it.id.String(), "crashes its targets", fmt.Sprintf("crashes=%d", it.crashes))
+	t.logEvent("failed", it.id.String(), "crashes its targets", it.crashText())
 	for _, c := range it.unexplained {
 		for _, other := range c.involved {
 			if other.item.step.job != it.step.job {
@@ -168,7 +166,7 @@
 	return it.step.spec.Serving && it.step.spec.MaxUnavailable > 0
 }
 
-// clearOf clears an item of a crash that another one has caused. One that has been a suspect of guiltyCrashes such crashes is tried all the same.
+// clearOf clears an item of a crash that another one has caused. One that has been a suspect of blame.GuiltyCrashes such crashes is tried all the same.
 func (t *Table) clearOf(i involvement, c *crash) {
 	it := i.item
 	n := slices.Index(it.unexplained, c)
@@ -176,20 +174,18 @@
 		return
 	}
 	it.unexplained = slices.Delete(it.unexplained, n, n+1)
-	if i.counted && it.crashes > 0 {
-		it.crashes--
-	}
-	if i.suspected {
-		it.explained++
+	it.crashes = it.crashes.Remove(i.count)
+	if i.suspected && i.count == blame.Prompt {
+		it.crashes.Explained++
 	}
 	t.markDirty(it.step.job)
-	if len(it.unexplained) == 0 && it.crashes == 0 && it.explained < guiltyCrashes {
+	if len(it.unexplained) == 0 && it.crashes.Empty() && it.crashes.Explained < blame.GuiltyCrashes {
 		t.setSuspect(it, false)
 	}
 }
 
 // clearOfAll clears an item whose run ended otherwise, or was seen active for long, of all crashes.
 func (t *Table) clearOfAll(it *item) {
-	it.crashes, it.explained, it.unexplained = 0, 0, nil
+	it.crashes, it.unexplained = blame.Tally{}, nil
 	t.setSuspect(it, false)
 }
--- a/sched/flush.go
+++ b/sched/flush.go
@@ -211,7 +211,7 @@
 					Occurrence: o.index, Step: s.index, Index: it.id.Index,
 					Done: it.state == itemEnded, Run: it.run, Failures: it.failures,
 				}
-				ip.Crashes, ip.Explained, ip.Suspect = it.crashes, it.explained, it.suspect
+				ip.Crashes, ip.Explained, ip.Suspect = it.crashes.Seen(), it.crashes.Explained, it.suspect
 				if it.target != nil {
 					ip.Target, ip.Incarnation, ip.OnTrial = it.target.ID, it.incarnation, it.onTrial
 				}
--- a/sched/job.go
+++ b/sched/job.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"lavenderwing.example/lavenderwing/blame"
 	"lavenderwing.example/lavenderwing/work"
 )
 
@@ -54,9 +55,8 @@
 	sent bool
 	// incarnation is the incarnation of the target when the latest run was ordered, 0 if it was not known.
 	incarnation int64
-	// crashes counts the targets that have crashed while they ran the item, and explained those crashes of which it was a suspect and another item was found guilty.
-	crashes   int
-	explained int
+	// crashes counts the targets that have crashed while they ran the item. The record does not tell late ones from others, so that the next holder counts them in full; of those that left the start unanswered only the present holder knows.
+	crashes blame.Tally
 	// unexplained holds the crashes in which the item is involved and whose cause is not known, and seenBeforeCrash for how long its run was seen active before the last one.
 	unexplained     []*crash
 	seenBeforeCrash time.Duration
--- a/sched/load.go
+++ b/sched/load.go
@@ -9,6 +9,7 @@
 
 	"github.com/gravitational/trace"
 
+	"lavenderwing.example/lavenderwing/blame"
 	"lavenderwing.example/lavenderwing/work"
 )
 
@@ -101,7 +102,7 @@
 		return
 	}
 	it.run, it.failures, it.checkpoint = progress.Run, progress.Failures, progress.Checkpoint
-	it.crashes, it.explained = progress.Crashes, progress.Explained
+	it.crashes = blame.Tally{Prompt: progress.Crashes, Explained: progress.Explained}
 	if progress.Suspect && !progress.Done && j.active() {
 		it.suspect = true
 		j.suspects++
--- a/sched/modelholder_test.go
+++ b/sched/modelholder_test.go
@@ -40,6 +40,7 @@
 		}
 	}
 	m.epoch++
+	m.crashes.takeOver(m)
 	h := &modelHolder{model: m, epoch: m.epoch, alive: true, unsentOrders: map[work.TargetID][]Order{}, driven: map[*modelTarget]bool{}, reportsRead: map[*modelTarget]int{}, tookOverAt: m.now, drivers: map[work.TargetID]*modelDriver{}}
 	m.holders = append(m.holders, h)
 	bounds := testBounds()
--- a/sched/renew.go
+++ b/sched/renew.go
@@ -276,7 +276,12 @@
 // updateRun applies a run's state in a renewal reply.
 func (t *Table) updateRun(it *item, r *work.ActiveRun, now time.Duration) {
 	if !it.seen() {
-		it.confirmed, it.confirmedAt, it.doubtful = true, now, false
+		since := now
+		if it.confirmed && !it.doubtful {
+			// The run is inherited: an earlier holder ordered it before this one took over, so that it has not just begun.
+			since = max(t.tookOverAt, 1)
+		}
+		it.confirmed, it.confirmedAt, it.doubtful = true, since, false
 	}
 	if r.Checkpoint != "" {
 		it.checkpoint = r.Checkpoint
