--- a/sched/flush.go
+++ b/sched/flush.go
@@ -98,6 +98,9 @@
 	if err := t.flushRunStats(b, now); err != nil {
 		return nil, err
 	}
+	if len(b.Entries) > 0 {
+		t.unwrittenSince = now
+	}
 	for _, tgt := range t.sortedTargets {
 		if tgt.lastAppliedEnd > tgt.lastRecordedEnd {
 			b.acks = append(b.acks, ack{target: tgt, incarnation: tgt.incarnation, number: tgt.lastAppliedEnd})
@@ -161,12 +164,7 @@
 		if !w.dirty {
 			continue
 		}
-		p := &work.WaveProgress{Completed: w.completed}
-		for _, name := range w.Hosts {
-			if w.begun[name] && !w.completed {
-				p.Started = append(p.Started, name)
-			}
-		}
+		p := &work.WaveProgress{Completed: w.completed, Started: slices.Sorted(maps.Keys(w.begun))}
 		value, err := work.Encode(p)
 		if err != nil {
 			return err
@@ -180,6 +178,7 @@
 
 // Flushed records that the store holds a batch.
 func (t *Table) Flushed(b *Batch) {
+	t.unwrittenSince = 0
 	for i, j := range b.jobs {
 		j.recordedState, j.recordedCancelled = b.states[i], b.cancelled[i]
 		if j.recordedState.Final() && !t.hasRuns(j) {
@@ -188,7 +187,8 @@
 	}
 	t.forgetRemoved(b.removed)
 	for _, r := range b.waves {
-		r.wave.recordedCompleted = r.completed
+		// A wave may have been reopened since the batch was made.
+		r.wave.recordedCompleted = r.completed && r.wave.completed
 	}
 	for _, a := range b.acks {
 		if a.target.incarnation == a.incarnation {
@@ -211,7 +211,7 @@
 					Occurrence: o.index, Step: s.index, Index: it.id.Index,
 					Done: it.state == itemEnded, Run: it.run, Failures: it.failures,
 				}
-				ip.Crashes, ip.Explained, ip.Suspect = it.crashes, it.explained, it.suspect
+				ip.Crashes, ip.Explained, ip.Suspect = it.crashes.Seen(), it.crashes.Explained, it.suspect
 				if it.target != nil {
 					ip.Target, ip.Incarnation, ip.OnTrial = it.target.ID, it.incarnation, it.onTrial
 				}
--- a/sched/host.go
+++ b/sched/host.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -52,6 +53,8 @@
 	maybeExecuted bool
 	// oldTarget is the host's target when the order was first issued.
 	oldTarget work.TargetID
+	// consolidating means that the host is drained to bring its serving items to other hosts, as long as it has any.
+	consolidating bool
 	// emptyingSince is when the host's batch items were first stopped for the order.
 	emptyingSince time.Duration
 }
@@ -77,8 +80,10 @@
 	// announced means that the operator's wave has been read. A holder may know the wave's progress earlier, but not its hosts.
 	announced   bool
 	announcedAt time.Duration
-	// begun holds the names of the hosts whose maintenance the cloud has accepted.
+	// begun holds the names of the hosts whose maintenance the cloud has accepted. Once the wave is complete it also holds those that are gone, and an empty name, so that its record is never empty.
 	begun map[string]bool
+	// hostsUnknown means that an earlier version recorded the completion, without the hosts.
+	hostsUnknown bool
 	// missingSince is when the first host list that lacks a host of the wave was requested.
 	missingSince map[string]time.Duration
 	completed    bool
@@ -101,10 +106,37 @@
 	return w
 }
 
-// AddWave adds an operator's wave that was announced at the given time, or updates the wave with the same number.
+// AddWave adds an operator's wave that was announced at the given time, or updates the wave with the same number; an earlier record of it is ignored. A complete wave that is announced with more hosts goes on with these.
 func (t *Table) AddWave(w work.Wave, announcedAt time.Duration) {
 	wave := t.ensureWave(w.Number)
+	if wave.announced && w.Offset < wave.Offset {
+		return
+	}
 	wave.Wave, wave.announced, wave.announcedAt = w, true, announcedAt
+	wave.reopen()
+}
+
+// reopen has a complete wave go on if its present announcement names hosts that it was completed without.
+func (w *waveState) reopen() {
+	if !w.announced || !w.completed {
+		return
+	}
+	if w.hostsUnknown {
+		// An earlier version did not record the hosts, and the wave was not written again since, as far as can be told.
+		w.hostsUnknown = false
+		w.settleHosts()
+	}
+	if slices.ContainsFunc(w.Hosts, func(name string) bool { return !w.begun[name] }) {
+		w.completed, w.recordedCompleted, w.reported, w.dirty = false, false, 0, true
+	}
+}
+
+// settleHosts notes that none of the present hosts awaits its maintenance any more.
+func (w *waveState) settleHosts() {
+	w.begun[""] = true
+	for _, name := range w.Hosts {
+		w.begun[name] = true
+	}
 }
 
 // orderName describes a host order in events.
@@ -293,6 +325,9 @@
 			continue
 		}
 		forced := o.Wave > 0 && t.mustForceMaintenance(t.waves[o.Wave], h, now)
+		if o.consolidating && !t.isEmpty(h) {
+			continue
+		}
 		if t.mayTakeAway(h, forced, now) && (!forced || t.stopBatchRuns(h, now)) {
 			if !t.hostLimiter.take(now) {
 				return
@@ -306,7 +341,7 @@
 // markHostOrders marks the targets whose hosts have been ordered away, so that disruption budgets count their items as unavailable, and those whose hosts have drained for their maintenance for longer than maxDrainWait.
 func (t *Table) markHostOrders(now time.Duration) {
 	for _, tgt := range t.sortedTargets {
-		tgt.hostOrderIssued, tgt.drainOverdue = false, false
+		tgt.hostOrderIssued, tgt.drainOverdue, tgt.consolidating = false, false, false
 	}
 	for _, h := range t.sortedHosts {
 		tgt, ok := t.targets[h.Target]
@@ -315,6 +350,7 @@
 		}
 		o := h.order
 		tgt.hostOrderIssued = o.stage != stageDraining || o.maybeExecuted
+		tgt.consolidating = o.consolidating
 		tgt.drainOverdue = o.Wave > 0 && o.stage == stageDraining && now-o.stageSince > maxDrainWait
 	}
 }
--- a/sched/load.go
+++ b/sched/load.go
@@ -9,6 +9,7 @@
 
 	"github.com/gravitational/trace"
 
+	"lavenderwing.example/lavenderwing/blame"
 	"lavenderwing.example/lavenderwing/work"
 )
 
@@ -42,6 +43,8 @@
 	for _, name := range progress.Started {
 		wave.begun[name] = true
 	}
+	wave.hostsUnknown = progress.Completed && len(progress.Started) == 0
+	wave.reopen()
 	return nil
 }
 
@@ -101,7 +104,7 @@
 		return
 	}
 	it.run, it.failures, it.checkpoint = progress.Run, progress.Failures, progress.Checkpoint
-	it.crashes, it.explained = progress.Crashes, progress.Explained
+	it.crashes = blame.Tally{Prompt: progress.Crashes, Explained: progress.Explained}
 	if progress.Suspect && !progress.Done && j.active() {
 		it.suspect = true
 		j.suspects++
--- a/sched/modelholder_test.go
+++ b/sched/modelholder_test.go
@@ -40,6 +40,7 @@
 		}
 	}
 	m.epoch++
+	m.crashes.takeOver(m)
 	h := &modelHolder{model: m, epoch: m.epoch, alive: true, unsentOrders: map[work.TargetID][]Order{}, driven: map[*modelTarget]bool{}, reportsRead: map[*modelTarget]int{}, tookOverAt: m.now, drivers: map[work.TargetID]*modelDriver{}}
 	m.holders = append(m.holders, h)
 	bounds := testBounds()
@@ -236,6 +237,7 @@
 func (h *modelHolder) callNow(t *modelTarget, o Order, outstanding bool, unanswered, again func()) {
 	h.schedule(h.randomDuration(time.Millisecond, 30*time.Millisecond), func() {
 		if !h.reachable(t) {
+			h.deliverThroughCut(t, func() { h.execute(t, o) })
 			unanswered()
 			return
 		}
--- a/sched/target.go
+++ b/sched/target.go
@@ -36,8 +36,15 @@
 	// readingMs is the target's clock in its last renewal reply, and readingSentAt when that renewal was sent, so that the clock showed less then.
 	readingMs     int64
 	readingSentAt time.Duration
-	// leaseExpiresAt is when the target has certainly ended its runs unless its lease is renewed.
-	leaseExpiresAt time.Duration
+	// leaseExpiresAt is when the lease has certainly expired that the target is known to have got, or to be left with from an earlier holder or incarnation. leasePossibleUntil is the same of the leases that unanswered calls may have granted, and leaseCalls holds the calls under way, see leaseEnd.
+	leaseExpiresAt, leasePossibleUntil time.Duration
+	leaseCalls                         []leaseCall
+	lastLeaseCall                      LeaseCall
+	// restarted means that calls may have carried leases by the clock of a former incarnation, and no renewal has been answered since.
+	restarted bool
+	// leaseUnconfirmed means that a call has got no answer, or a renewal was refused, since the last answer. leaseAskedAt is when the last call before that with a lease was prepared.
+	leaseUnconfirmed bool
+	leaseAskedAt     time.Duration
 	// lastAppliedEnd is the sequence number of the last run end that was applied, lastRecordedEnd that of the last one that the store holds, and lastAcknowledgedEnd that of the last one that the target has been told to forget.
 	lastAppliedEnd      int64
 	lastRecordedEnd     int64
@@ -75,12 +82,24 @@
 	hostOrderIssued bool
 	// drainOverdue means that the target's host has drained for its maintenance for longer than maxDrainWait.
 	drainOverdue bool
+	// consolidating means that the target's host is drained to bring its serving items to other hosts.
+	consolidating bool
 	// maintenanceDue means that a wave has yet to maintain the target's host.
 	maintenanceDue bool
 	// reserved means that the target starts nothing but suspects; trial is the job whose suspects are tried there, and trialSince is since when.
 	reserved   bool
 	trial      *job
 	trialSince time.Duration
+	// disputed means that the target's entry contradicts it, so that it may be a new incarnation, and disputedAt is when the last such dispute began.
+	disputed   bool
+	disputedAt time.Duration
+	// trialIdleSince is since when the reserved target has been without a trial, 0 during one.
+	trialIdleSince time.Duration
+	// withheld means that in the last plan an item that needs no trial found no room, but would have found it here without the reservation; withheldSince is since when that has been so in each plan, 0 if it was not so in the last one.
+	withheld      bool
+	withheldSince time.Duration
+	// noTrialBefore is when the target may be reserved again after a reservation that withheld it for too long.
+	noTrialBefore time.Duration
 	// setAside means that this program cannot handle the target's replies.
 	setAside bool
 	// missingSince is when the first host list that lacks the unreachable target was requested, 0 while the list shows it.
@@ -107,8 +126,10 @@
 // forgetIncarnation forgets what the target has reported in an incarnation that is over.
 func (t *target) forgetIncarnation() {
 	t.answeredAt, t.doubtful = 0, false
+	t.restarted = t.restarted || t.clockAt != 0
 	t.acquired, t.lastAppliedEnd, t.lastRecordedEnd, t.lastAcknowledgedEnd = false, 0, 0, 0
-	t.clockAt, t.clockMs, t.readingMs, t.leaseExpiresAt = 0, 0, 0, 0
+	t.clockAt, t.clockMs, t.readingMs, t.leaseExpiresAt, t.leasePossibleUntil, t.leaseAskedAt = 0, 0, 0, 0, 0, 0
+	t.leaseCalls = nil
 	t.orphanUsage, t.unexpected = work.Resources{}, nil
 	t.incarnation = 0
 }
@@ -148,20 +169,7 @@
 
 // available reports whether the target may get new starts.
 func (t *target) available(now time.Duration) bool {
-	return t.listed && t.acquired && !t.setAside && !t.Draining && !t.cordoned && !t.evacuated && !t.unreachable && len(t.revoked) == 0 && now >= t.quarantinedUntil
-}
-
-// extendLease returns the time on the target's clock until which a lease of the given length holds, or 0 while its clock is unknown, and notes when the lease has certainly expired.
-func (t *target) extendLease(now, length time.Duration) int64 {
-	if t.clockAt == 0 {
-		return 0
-	}
-	elapsed := time.Duration(float64(now-t.clockAt) * minClockRate)
-	until := t.clockMs + (elapsed + length).Milliseconds()
-	// The clock showed clockMs at clockAt or earlier, and has run at the slowest rate since.
-	expires := t.clockAt + time.Duration(float64(until-t.clockMs)/minClockRate)*time.Millisecond + leaseMargin
-	t.leaseExpiresAt = max(t.leaseExpiresAt, expires)
-	return until
+	return t.listed && t.acquired && !t.setAside && !t.Draining && !t.cordoned && !t.evacuated && !t.unreachable && !t.disputed && len(t.revoked) == 0 && now >= t.quarantinedUntil
 }
 
 // maxClockLag is how far a target's clock may be behind what its last answer and the slowest rate predict, since answers may overtake each other. That of a new incarnation is further behind, because it was down in between.
