Order, admit and place work by learned run times

Cause: declared run times are off by half or a factor of two, 3 items in 100 may take seven times as long, and jobs that cannot be in time delay others. Change: with work.LearnedTimes on and 30 runs of a queue, critical paths use learned medians, slack the slowest of a step's waiting items, arriving work and backlog means with their tail; runs that end within 0.5 s hold no whole room, jobs whose runs have outlasted the body count as late, and items prefer targets that stay busy anyway. Only undisturbed first runs are learned. Events learned and statsIgnored, metrics learned_runs and expectation_error. The load simulation of the tests takes kinds of load and features; it skips completed jobs when it looks for runs, so that it is faster. Its earlier tests check the same.

--- a/agent/holder.go
+++ b/agent/holder.go
@@ -229,11 +229,13 @@
 	var events []sched.Event
 	var adviceRequests []sched.AdviceRequest
 	var deposed bool
+	var expectationErrors []float64
 	err := h.guardTable("a step of the table", func() {
 		h.table.SetWallClock(time.Now().UnixMilli(), now)
 		h.table.Plan(now)
 		orders := h.table.TakeOrders()
 		events, adviceRequests, deposed = h.table.TakeEvents(), h.table.TakeAdviceRequests(), h.table.Deposed()
+		expectationErrors = h.table.TakeExpectationErrors()
 		if h.driversStale || now-h.driversSyncedAt >= tickInterval {
 			h.driversStale, h.driversSyncedAt = false, now
 			h.syncDrivers()
@@ -246,6 +248,9 @@
 		return
 	}
 	h.logEvents(events)
+	for _, ratio := range expectationErrors {
+		h.agent.meters.expectError.RecordValue(ratio)
+	}
 	h.queueAdvice(adviceRequests)
 	if deposed {
 		h.depose("a target has seen a higher fencing token")
--- a/agent/metrics.go
+++ b/agent/metrics.go
@@ -16,6 +16,9 @@
 // latencyBuckets range from 1 ms, the latency of a local reply, to 4.1 s, beyond the callers' default timeout.
 var latencyBuckets = tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 13)
 
+// errorBuckets are ratios of actual to expected run times, from a quarter to beyond the tail of heavy-tailed work.
+var errorBuckets = tally.ValueBuckets{0.25, 0.5, 0.71, 0.83, 0.91, 1, 1.1, 1.2, 1.41, 2, 4, 8}
+
 // meters holds the metrics of the process.
 type meters struct {
 	scope       tally.Scope
@@ -32,6 +35,7 @@
 	backlog     tally.Gauge
 	epoch       tally.Gauge
 	version     tally.Gauge
+	expectError tally.Histogram
 	latency     [len(kindNames)]tally.Histogram
 
 	mu        sync.Mutex
@@ -54,7 +58,8 @@
 		cloudCalls: scope.Counter("cloud_calls"), renewals: scope.Counter("target_renewals"), starts: scope.Counter("starts"), panics: scope.Counter("panics"),
 		removals: scope.Counter("jobs_removed"), backlog: scope.Gauge("removal_backlog"),
 		epoch: scope.Gauge("holder_epoch"), version: scope.Gauge("config_version"),
-		decisions: map[string]tally.Counter{}, refusals: map[int]tally.Counter{}, stored: map[string]*storedTopic{},
+		expectError: scope.Histogram("expectation_error", errorBuckets),
+		decisions:   map[string]tally.Counter{}, refusals: map[int]tally.Counter{}, stored: map[string]*storedTopic{},
 	}
 	for i, name := range kindNames {
 		m.latency[i] = scope.Tagged(map[string]string{"kind": name}).Histogram("request_latency", latencyBuckets)
--- a/agent/retain.go
+++ b/agent/retain.go
@@ -111,11 +111,14 @@
 // reportJobs updates the metrics of the jobs that the holder knows, and returns the number of those whose retention is over.
 func (h *Holder) reportJobs() int {
 	h.mu.Lock()
-	counts, backlog := h.table.CountJobs(), h.table.CountExpired(h.agent.clock.Now())
+	counts, backlog, learned := h.table.CountJobs(), h.table.CountExpired(h.agent.clock.Now()), h.table.LearnedRuns()
 	h.mu.Unlock()
 	for state := work.Queued; state <= work.Cancelled; state++ {
 		h.agent.meters.scope.Tagged(map[string]string{"state": state.String()}).Gauge("jobs").Update(float64(counts[state]))
 	}
+	for queue, runs := range learned {
+		h.agent.meters.scope.Tagged(map[string]string{"queue": queue}).Gauge("learned_runs").Update(runs)
+	}
 	h.agent.meters.backlog.Update(float64(backlog))
 	return backlog
 }
--- a/sched/admit.go
+++ b/sched/admit.go
@@ -46,7 +46,7 @@
 	return a
 }
 
-// backlogTime is the time that the hosts of the queue's pool, present and planned, need for the waiting work, by the queue's mean run time.
+// backlogTime is the time that the hosts of the queue's pool, present and planned, need for the waiting work, by the mean run time of each step that waits, or of the queue alone if the feature is off.
 func (t *Table) backlogTime(q *work.Queue) time.Duration {
 	p, ok := t.pools[q.Pool]
 	if !ok || p.hostCPU == 0 {
@@ -57,5 +57,8 @@
 		return 0
 	}
 	hosts := max(len(p.hosts)+p.incoming, p.wantedHosts, 1)
+	if t.learned != nil {
+		return time.Duration(p.waitingWork / float64(int64(hosts)*p.hostCPU) * float64(time.Second))
+	}
 	return time.Duration(float64(p.waiting) / float64(int64(hosts)*p.hostCPU) * stats.meanMs() * float64(time.Millisecond))
 }
--- a/sched/bench_test.go
+++ b/sched/bench_test.go
@@ -5,11 +5,18 @@
 	"testing"
 	"time"
 
+	"lavenderwing.example/lavenderwing/learn"
 	"lavenderwing.example/lavenderwing/work"
 )
 
 // BenchmarkPlanAtFullSize measures a plan of the largest fleet that the design allows for: 3,100 hosts in 58 pools, 250 teams, 10,000 waiting items and full pools.
-func BenchmarkPlanAtFullSize(b *testing.B) {
+func BenchmarkPlanAtFullSize(b *testing.B) { benchmarkPlan(b, 0) }
+
+// BenchmarkPlanWithLearnedTimes is BenchmarkPlanAtFullSize with learned run times for each queue.
+func BenchmarkPlanWithLearnedTimes(b *testing.B) { benchmarkPlan(b, 100) }
+
+// benchmarkPlan measures a plan after the given number of runs of each queue.
+func benchmarkPlan(b *testing.B, runs int) {
 	const hosts, pools, teams, jobs, items = 3100, 58, 250, 500, 20
 	c := &work.Config{Version: 1}
 	for n := range pools {
@@ -23,6 +30,11 @@
 	now := time.Second
 	t := New(testBounds(), WithToken(1, now))
 	t.Configure(c)
+	for n := range pools * runs {
+		key := learn.Key{Queue: fmt.Sprintf("qp%d", n%pools), Team: fmt.Sprintf("t%d", n%teams)}
+		t.learned.Observe(key, time.Duration(800+n%400)*time.Millisecond, 1000, now)
+		t.ensureRunStats(key.Queue).observe(time.Second, 1000)
+	}
 	for n := range hosts {
 		id := work.TargetID(fmt.Sprintf("i%d", n))
 		t.UpsertTarget(work.Target{ID: id, Pool: fmt.Sprintf("p%d", n%pools), Address: "a", Capacity: work.Resources{CPU: 1000, MemMB: 1000}}, now)
--- a/sched/doc.go
+++ b/sched/doc.go
@@ -4,5 +4,7 @@
 //
 // Leases: targets run items only while their lease is renewed. If a target stops answering, its items are requeued once the lease has certainly expired. If a target answers with a new incarnation, the runs of its former incarnation are revoked: stop orders with Revokes prevent starts that may still be delivered from beginning a run. A target's reply to a renewal lists its active runs and the ends that have not been acknowledged.
 //
+// Run times: package learn predicts them from the runs that have ended undisturbed; the order of placement, admission, the sizes of pools and the choice of targets follow its expectations.
+//
 // Moves and maintenance of hosts: the host's target is cordoned and drained. The order is then recorded, sent to the cloud and repeated until it is answered, and it is complete when the host list shows the host up again.
 package sched
--- a/sched/ends.go
+++ b/sched/ends.go
@@ -11,6 +11,7 @@
 func (t *Table) applyEnd(it *item, outcome work.RunOutcome, checkpoint string, now time.Duration) {
 	tgt := it.target
 	j := it.step.job
+	timed := it.isTimed(tgt)
 	t.detach(it)
 	if checkpoint != "" {
 		it.checkpoint = checkpoint
@@ -23,9 +24,7 @@
 			t.requeue(it, now)
 			return
 		}
-		if it.run == 1 {
-			t.ensureRunStats(j.queue.Name).observe(now-it.orderedAt, it.step.spec.EstimateMs)
-		}
+		t.observeRun(it, timed, now)
 		t.completeItem(it, now)
 		return
 	case work.RunFailed:
--- a/sched/estimate.go
+++ b/sched/estimate.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"lavenderwing.example/lavenderwing/learn"
 )
 
 // Estimates of run times. Declared times are off by a factor of two or more, so they count only as far as they have predicted run times better than the queue's mean does.
@@ -65,24 +67,35 @@
 
 // criticalPaths returns for each step of a job the expected time in milliseconds from its start to the job's end, along the longest chain of steps. The result is kept until recomputeAfterRuns further runs of the queue have ended.
 func (t *Table) criticalPaths(j *job) []float64 {
-	stats := t.ensureRunStats(j.queue.Name)
+	if j.stats == nil {
+		j.stats = t.ensureRunStats(j.queue.Name)
+	}
+	stats := j.stats
 	if j.criticalPathsMs != nil && stats.runs-j.criticalPathsAtRuns < recomputeAfterRuns {
 		return j.criticalPathsMs
 	}
 	steps := j.record.Steps
 	if j.criticalPathsMs == nil {
 		j.criticalPathsMs = make([]float64, len(steps))
+		j.endsMs = make([]float64, len(steps))
+		j.expectations = make([]learn.Expectation, len(steps))
 	}
 	for i := len(steps) - 1; i >= 0; i-- {
-		longest := 0.0
+		longest, longestEnd := 0.0, 0.0
 		for n := i + 1; n < len(steps); n++ {
 			for _, dependency := range steps[n].After {
 				if dependency == i {
-					longest = max(longest, j.criticalPathsMs[n])
+					longest, longestEnd = max(longest, j.criticalPathsMs[n]), max(longestEnd, j.endsMs[n])
 				}
 			}
 		}
-		j.criticalPathsMs[i] = longest + stats.expectedMs(steps[i].EstimateMs)
+		j.expectations[i] = t.expect(j, i)
+		expectedMs := j.expectations[i].Median
+		if !j.expectations[i].Known() {
+			expectedMs = stats.expectedMs(steps[i].EstimateMs)
+		}
+		j.criticalPathsMs[i] = longest + expectedMs
+		j.endsMs[i] = longestEnd + max(j.expectations[i].Slowest(steps[i].Count), expectedMs)
 	}
 	j.criticalPathsAtRuns = stats.runs
 	return j.criticalPathsMs
--- a/sched/flush.go
+++ b/sched/flush.go
@@ -136,7 +136,7 @@
 	}
 	t.statsRecordedAt = now
 	b.Entries = append(b.Entries, Entry{Key: statsKey, Value: value})
-	return nil
+	return t.flushLearned(b)
 }
 
 // flushHosts adds the records of host orders, of the clocks that date them, and of waves.
--- a/sched/host.go
+++ b/sched/host.go
@@ -16,11 +16,14 @@
 	clockKey = "clock"
 	// statsKey is the key of the holder's work.RunStatsRecord.
 	statsKey = "stats"
+	// learnedPrefix is the prefix of the records of learned run times, and learnedKey the key of those that this version writes. An earlier version takes the key for that of a job and logs that it cannot decode the progress.
+	learnedPrefix = "stats/"
+	learnedKey    = learnedPrefix + "2"
 )
 
 // IsJobKey reports whether a record's key is that of a job.
 func IsJobKey(key string) bool {
-	return key != clockKey && key != statsKey && !strings.HasPrefix(key, hostPrefix) && !strings.HasPrefix(key, wavePrefix)
+	return key != clockKey && key != statsKey && !strings.HasPrefix(key, learnedPrefix) && !strings.HasPrefix(key, hostPrefix) && !strings.HasPrefix(key, wavePrefix)
 }
 
 // HostOrder tells the cloud to move a host into a pool or to begin its maintenance for a wave.
--- a/sched/job.go
+++ b/sched/job.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"lavenderwing.example/lavenderwing/learn"
 	"lavenderwing.example/lavenderwing/work"
 )
 
@@ -34,6 +35,8 @@
 	// doubtful means that the answer to the start may have come from a later incarnation of the target than the one that it was sent to.
 	doubtful  bool
 	orderedAt time.Duration
+	// timed means that nothing is known by which the time from orderedAt to the reported end would differ from the run time.
+	timed bool
 	// stopping means that a stop was ordered, at stopOrderedAt; stopConfirmedAt is when it was answered.
 	stopping        bool
 	stopOrderedAt   time.Duration
@@ -80,6 +83,10 @@
 	noRoom bool
 	// noRoomSince is when attempts began to find no room, 0 if the last one found room.
 	noRoomSince time.Duration
+	// restMs is the expected time from the start of restWaiting waiting items to the job's end, computed when the queue had restAtRuns finished runs.
+	restMs      float64
+	restWaiting int
+	restAtRuns  float64
 	// advice is nil until advice is requested.
 	advice *adviceState
 }
@@ -91,6 +98,8 @@
 	due        int64
 	steps      []*step
 	unfinished int
+	// runsUntil is when the items that run now, and the steps after them, are expected to be complete, 0 if that is not known or none runs.
+	runsUntil time.Duration
 }
 
 // job is an accepted job and its progress.
@@ -128,6 +137,12 @@
 	// criticalPathsMs holds the expected time from each step's start to the job's end, computed when the queue had criticalPathsAtRuns finished runs.
 	criticalPathsMs     []float64
 	criticalPathsAtRuns float64
+	// stats are those of the queue, nil until they are first used; they are kept as long as a job of the queue is active.
+	stats *runStats
+	// endsMs is criticalPathsMs with the time of the slowest of each step's items, where that has been learned.
+	endsMs []float64
+	// expectations holds what was learned of each step's run time when criticalPathsMs was computed.
+	expectations []learn.Expectation
 }
 
 func newJob(record *work.Job, queue *work.Queue, acceptedAt time.Duration) *job {
--- a/sched/load.go
+++ b/sched/load.go
@@ -12,7 +12,7 @@
 	"lavenderwing.example/lavenderwing/work"
 )
 
-// LoadHostOrWave restores the progress of a host or wave, or an earlier holder's clocks or statistics, from its record.
+// LoadHostOrWave restores the progress of a host or wave, or an earlier holder's clocks, statistics or learned run times, from its record.
 func (t *Table) LoadHostOrWave(key string, value []byte) error {
 	if key == clockKey {
 		return work.Decode(value, &t.earlierClocks)
@@ -20,6 +20,10 @@
 	if key == statsKey {
 		return t.loadRunStats(value)
 	}
+	if strings.HasPrefix(key, learnedPrefix) {
+		t.loadLearned(key, value)
+		return nil
+	}
 	if name, ok := strings.CutPrefix(key, hostPrefix); ok {
 		var record work.HostOrderRecord
 		if err := work.Decode(value, &record); err != nil {
@@ -85,7 +89,7 @@
 func (t *Table) RestoreArrivals(now time.Duration) {
 	for _, j := range t.activeJobs {
 		if j.active() && now-j.acceptedAt < arrivalWindow {
-			t.ensurePool(j.queue.Pool).addArrival(j.record, t.ensureRunStats(j.queue.Name), j.acceptedAt, now)
+			t.ensurePool(j.queue.Pool).addArrivalOf(j.record, func(step int) float64 { return t.meanMs(j, step) }, j.acceptedAt, now)
 		}
 	}
 }
--- a/sched/load_test.go
+++ b/sched/load_test.go
@@ -5,6 +5,7 @@
 	"math"
 	"math/rand"
 	"strconv"
+	"sync"
 	"testing"
 	"time"
 
@@ -27,6 +28,9 @@
 	inTime  int
 	// burstRate is the rate of arriving jobs a second in a burst.
 	burstRate float64
+	kind      loadKind
+	// typicalMs holds the typical run time of each job's steps.
+	typicalMs [][]float64
 	// smallInTime counts the small team's jobs that were completed in time, smallSent all of its jobs.
 	smallInTime, smallSent int
 }
@@ -38,6 +42,24 @@
 	smallTeamShare = 0.1
 )
 
+// loadKind says how long items run and what callers declare.
+type loadKind struct {
+	// team returns the team of a job; nil means that smallTeam sends smallTeamShare of the jobs.
+	team func(*rand.Rand) string
+	// typicalMs returns the typical run time of a step of a team's job, and declaredMs what the caller declares for it.
+	typicalMs  func(*rand.Rand, string) float64
+	declaredMs func(*rand.Rand, float64) float64
+	// deviation is the standard deviation of the logarithms of run times within a step; tailShare of the items take tailFactor times as long.
+	deviation, tailShare, tailFactor float64
+}
+
+// meaninglessTimes are declared times that tell nothing of the true ones.
+var meaninglessTimes = loadKind{
+	typicalMs:  func(*rand.Rand, string) float64 { return 800 },
+	declaredMs: func(r *rand.Rand, _ float64) float64 { return 800 * math.Exp(0.9*r.NormFloat64()) },
+	deviation:  0.4,
+}
+
 type simulatedRun struct {
 	target work.TargetID
 	run    int
@@ -52,12 +74,14 @@
 	loadTargets = 6
 )
 
-func simulateBurst(seed int64, queue work.Queue) *simulation { return simulateLoad(seed, queue, 22) }
+func simulateBurst(seed int64, queue work.Queue) *simulation {
+	return simulateLoad(seed, queue, 22, meaninglessTimes, work.Features{})
+}
 
-func simulateLoad(seed int64, queue work.Queue, burstRate float64) *simulation {
+func simulateLoad(seed int64, queue work.Queue, burstRate float64, kind loadKind, features work.Features) *simulation {
 	sim := &simulation{
-		burstRate: burstRate,
-		Rand:      rand.New(rand.NewSource(seed)), table: New(testBounds(), WithToken(1, 0)), now: time.Second,
+		burstRate: burstRate, kind: kind,
+		Rand: rand.New(rand.NewSource(seed)), table: New(testBounds(), WithToken(1, 0), WithFeatures(features)), now: time.Second,
 		ends: map[work.TargetID][]work.EndedRun{}, lastEnd: map[work.TargetID]int64{}, running: map[work.ItemID]*simulatedRun{},
 	}
 	queue.Name, queue.Pool, queue.MaxAttempts = "q", "p", 3
@@ -108,29 +132,42 @@
 		panic(err)
 	}
 	r := rand.New(rand.NewSource(job*10_000 + int64(id.Step)*100 + int64(id.Index)))
-	return time.Duration(800*math.Exp(0.4*r.NormFloat64())) * time.Millisecond
+	took := sim.typicalMs[job-1][id.Step] * math.Exp(sim.kind.deviation*r.NormFloat64())
+	if sim.kind.tailShare > 0 && r.Float64() < sim.kind.tailShare {
+		took *= sim.kind.tailFactor
+	}
+	return time.Duration(took) * time.Millisecond
 }
 
 func (sim *simulation) submit(arrivals *rand.Rand) {
 	j := &work.Job{ID: work.JobID(fmt.Sprintf("%016x", len(sim.jobs)+1)), Queue: "q", Spec: "s", Team: hotTeam, AcceptedMs: sim.now.Milliseconds()}
+	if sim.kind.team != nil {
+		j.Team = sim.kind.team(arrivals)
+	}
 	steps := 1 + arrivals.Intn(3)
+	var typical []float64
+	path := 0.0
 	for n := range steps {
+		typical = append(typical, sim.kind.typicalMs(arrivals, j.Team))
+		path += typical[n]
 		s := work.Step{
 			Count: 1 + arrivals.Intn(8), Demand: work.Resources{CPU: 500 + int64(arrivals.Intn(1500)), MemMB: 1},
-			EstimateMs: int64(800 * math.Exp(0.9*arrivals.NormFloat64())),
 		}
+		s.EstimateMs = int64(sim.kind.declaredMs(arrivals, typical[n]))
 		if n > 0 {
 			s.After = []int{n - 1}
 		}
 		j.Steps = append(j.Steps, s)
 	}
-	if arrivals.Float64() < smallTeamShare {
+	if sim.kind.team == nil && arrivals.Float64() < smallTeamShare {
 		j.Team = smallTeam
+	}
+	if j.Team == smallTeam {
 		sim.smallSent++
 	}
-	sim.jobs = append(sim.jobs, j)
-	// Callers count a job as in time within 1.6 times its true critical path and 600 ms.
-	sim.due = append(sim.due, sim.now+time.Duration(1.6*800*float64(steps)+600)*time.Millisecond)
+	sim.jobs, sim.typicalMs = append(sim.jobs, j), append(sim.typicalMs, typical)
+	// Callers count a job as in time within 1.6 times its true critical path, without the tail, and 600 ms.
+	sim.due = append(sim.due, sim.now+time.Duration(1.6*path+600)*time.Millisecond)
 	sim.table.Accept(j, sim.now)
 }
 
@@ -144,7 +181,11 @@
 		}
 	}
 	sim.ends[id] = kept
-	for _, j := range sim.jobs {
+	for n, j := range sim.jobs {
+		if sim.due[n] == 0 {
+			// It is completed.
+			continue
+		}
 		for s := range j.Steps {
 			for n := range j.Steps[s].Count {
 				item := work.ItemID{Job: j.ID, Step: s, Index: n}
@@ -206,8 +247,76 @@
 // TestTeamKeepsShareDuringAnotherTeamsOverload guards against a team that is starved by another one's overload: in bursts of several times the pool's capacity, nine tenths of them from one of two teams with equal weights, most jobs of the other team have to be in time.
 func TestTeamKeepsShareDuringAnotherTeamsOverload(t *testing.T) {
 	is := is.New(t)
-	sim := simulateLoad(1, work.Queue{SlackFactor: 1.6, FixedSlackMs: 600}, 60)
+	sim := simulateLoad(1, work.Queue{SlackFactor: 1.6, FixedSlackMs: 600}, 60, meaninglessTimes, work.Features{})
 	is.Equal(sim.inTime+sim.late, len(sim.jobs)) // everything is completed
 	t.Logf("in time %d of %d, small team %d of %d", sim.inTime, len(sim.jobs), sim.smallInTime, sim.smallSent)
 	is.True(2*sim.smallInTime > sim.smallSent) // a team within its share is in time
 }
+
+// learnableLoads are the kinds of load that learned run times are meant for, and one that has nothing to learn.
+var learnableLoads = []struct {
+	name string
+	kind loadKind
+	// better means that more callers have to be served in time with learned run times; otherwise not fewer.
+	better bool
+}{
+	{"heavy tails", loadKind{
+		typicalMs:  func(*rand.Rand, string) float64 { return 680 },
+		declaredMs: func(r *rand.Rand, typical float64) float64 { return typical * math.Exp(0.3*r.NormFloat64()) },
+		deviation:  0.2, tailShare: 0.03, tailFactor: 7,
+	}, true},
+	{"wrong declared times", loadKind{
+		typicalMs:  func(r *rand.Rand, _ string) float64 { return 700 * math.Exp(0.5*r.NormFloat64()) },
+		declaredMs: func(r *rand.Rand, typical float64) float64 { return typical * []float64{0.5, 1, 2}[r.Intn(3)] },
+		deviation:  0.2,
+	}, true},
+	{"teams with different run times", loadKind{
+		team: func(r *rand.Rand) string {
+			if r.Float64() < 0.5 {
+				return hotTeam
+			}
+			return smallTeam
+		},
+		typicalMs: func(_ *rand.Rand, team string) float64 {
+			if team == hotTeam {
+				return 300
+			}
+			return 1300
+		},
+		declaredMs: func(r *rand.Rand, _ float64) float64 { return 800 * math.Exp(0.7*r.NormFloat64()) },
+		deviation:  0.2,
+	}, true},
+	{"meaningless declared times", meaninglessTimes, false},
+}
+
+// TestLearnedRunTimes guards against learned run times that serve callers worse than the estimates before, or no better where there is something to learn.
+func TestLearnedRunTimes(t *testing.T) {
+	queue := work.Queue{SlackFactor: 1.6, FixedSlackMs: 600}
+	for _, load := range learnableLoads {
+		t.Run(load.name, func(t *testing.T) {
+			is := is.New(t)
+			var with, without, all int
+			const seeds = 8
+			var withs, withouts [seeds]*simulation
+			var running sync.WaitGroup
+			for seed := range int64(seeds) {
+				running.Go(func() { withs[seed] = simulateLoad(seed, queue, 22, load.kind, work.Features{}) })
+				running.Go(func() {
+					withouts[seed] = simulateLoad(seed, queue, 22, load.kind, work.Features{}.WithDisabled(work.LearnedTimes))
+				})
+			}
+			running.Wait()
+			for seed := range seeds {
+				on, off := withs[seed], withouts[seed]
+				is.Equal(len(on.jobs), len(off.jobs))        // the same load
+				is.Equal(on.inTime+on.late, len(on.jobs))    // everything is completed
+				is.Equal(off.inTime+off.late, len(off.jobs)) // everything is completed
+				t.Logf("seed %d: in time %d with, %d without, of %d", seed, on.inTime, off.inTime, len(on.jobs))
+				with, without, all = with+on.inTime, without+off.inTime, all+len(on.jobs)
+			}
+			t.Logf("in time: %d with learned run times, %d without, of %d", with, without, all)
+			is.True(with >= without)
+			is.True(!load.better || with > without)
+		})
+	}
+}
--- a/sched/pace.go
+++ b/sched/pace.go
@@ -45,7 +45,7 @@
 	tgt.bestEffortPercent = next
 	for _, it := range tgt.runs {
 		if it.step.spec.BestEffort && it.confirmed && !it.stopping && it.pacePercent != next {
-			it.pacePercent = next
+			it.pacePercent, it.timed = next, false
 			t.orders = append(t.orders, PaceOrder{Target: tgt.ID, Item: it.id, Run: it.run, Percent: next})
 			t.logEvent("paced", it.id.String(), string(tgt.ID), strconv.Itoa(next)+" percent")
 		}
--- a/sched/place.go
+++ b/sched/place.go
@@ -20,7 +20,7 @@
 		if _, ok := s.validTicket(tgt, now); s.needsAdvice() && !ok {
 			continue
 		}
-		score := t.score(it, tgt)
+		score := t.score(it, tgt, now)
 		if best == nil || score > bestScore {
 			best, bestScore = tgt, score
 		}
@@ -77,10 +77,12 @@
 	bestEffortPenalty = 1.0
 	// interferencePenalty keeps best-effort items from targets with latency-bound serving items.
 	interferencePenalty = 3.0
+	// extensionPenalty keeps items from targets that would be empty long before them, as long as others are about as full.
+	extensionPenalty = 0.1
 )
 
 // score rates a target for an item, higher being better. Targets with less free CPU rate higher, so that hosts that are not needed become idle; for best-effort items it is the reverse. Targets near the item's data rate higher too, and the target on which the item failed last rates lower.
-func (t *Table) score(it *item, tgt *target) float64 {
+func (t *Table) score(it *item, tgt *target, now time.Duration) float64 {
 	s := it.step.spec
 	score := -freeCPUFraction(tgt.free(), tgt.Capacity)
 	if s.BestEffort {
@@ -102,6 +104,7 @@
 	if s.Serving && s.MaxUnavailable > 0 {
 		score -= spreadPenalty * float64(countOnTarget(tgt, it.step))
 	}
+	score -= extensionPenalty * t.busyExtension(it, tgt, now)
 	if s.RackSensitive && rackHasItems(it.step, tgt) {
 		score += rackAffinityWeight
 	}
--- a/sched/plan.go
+++ b/sched/plan.go
@@ -19,6 +19,7 @@
 	if now-t.teamLoadsMeasuredAt >= teamLoadInterval {
 		t.teamLoadsMeasuredAt = now
 		t.measureTeamLoads(now)
+		t.measureEnds(now)
 	}
 	// lastUnplaced holds, for each pool, the reservation of the last item that found no room although any target of the pool would do.
 	lastUnplaced := map[string]work.Resources{}
@@ -38,6 +39,7 @@
 		t.hostsPlannedAt = now
 		t.dropUnusedTargets(now)
 		t.planHosts(now)
+		t.logLearned(now)
 	}
 }
 
@@ -122,6 +124,15 @@
 	}
 }
 
+// latenessWithRuns returns the lateness of the step's job for the given slack of its waiting items, or by what it already runs if that is later.
+func (t *Table) latenessWithRuns(s *step, slack time.Duration) lateness {
+	l := t.lateness(s, slack)
+	if until := s.occurrence.runsUntil; until > 0 {
+		l = max(l, t.lateness(s, s.deadline(t)-until))
+	}
+	return l
+}
+
 // objective is how long the job may take from its acceptance, or an occurrence from its due time.
 func (t *Table) objective(j *job) time.Duration {
 	return time.Duration(j.queue.SlackFactor*t.criticalPathMs(j)+float64(j.queue.FixedSlackMs)) * time.Millisecond
@@ -141,7 +152,7 @@
 			for _, s := range o.steps {
 				if s.waiting > 0 && s.dependenciesDone() {
 					slack := t.slack(s, now)
-					list = append(list, candidate{step: s, serving: s.spec.Serving, lateness: t.lateness(s, slack), priority: j.queue.Priority, overShare: !s.spec.Serving && t.overShare(j), slack: slack})
+					list = append(list, candidate{step: s, serving: s.spec.Serving, lateness: t.latenessWithRuns(s, slack), priority: j.queue.Priority, overShare: !s.spec.Serving && t.overShare(j), slack: slack})
 				}
 			}
 		}
@@ -184,9 +195,9 @@
 	return start + t.objective(s.job)
 }
 
-// slack is how much longer the step can wait without making its job late; it is negative if the job will be late anyway.
+// slack is how much longer the step can wait without making its job late; it is negative if the job will be late anyway. Where run times have been learned, it counts the slowest of the items of each step.
 func (t *Table) slack(s *step, now time.Duration) time.Duration {
-	return s.deadline(t) - now - time.Duration(t.criticalPaths(s.job)[s.index])*time.Millisecond
+	return s.deadline(t) - now - time.Duration(t.restMs(s))*time.Millisecond
 }
 
 // placeStep starts as many of a step's waiting items as fit. It reports whether an item found no room although its step needs no ticket or label and has no limit per target, so that no other item of its size finds room in the pool.
@@ -351,6 +362,8 @@
 	it.orderedAt = now
 	it.confirmed, it.stopping, it.atFullSpeed = false, false, false
 	it.sent, it.doubtful, it.incarnation = false, false, tgt.incarnation
+	t.extendBusy(it, tgt, now)
+	it.timed = it.run == 1 && it.checkpoint == ""
 	it.onTrial = it.suspect && tgt.trial == it.step.job
 	tgt.charge(it)
 	// The true lease is set when the order is sent. Until then the run counts as active for one lease from now; leaseDuration/40 allows for a target's clock that is up to 2% slow.
--- a/sched/pools.go
+++ b/sched/pools.go
@@ -66,7 +66,9 @@
 	waiting int64
 	late    int64
 	running int64
-	serving int64
+	// waitingWork is the work of the waiting items in millicore-seconds, without serving ones.
+	waitingWork float64
+	serving     int64
 }
 
 // planPools moves spare hosts to the pools that are short of hosts, and the hosts that no pool needs into the standby pool.
@@ -124,13 +126,18 @@
 
 // addArrival adds the work of a job that arrived at the given time, which may be some time ago, to the average of the arriving work. The run times are those expected after the queue's finished runs.
 func (p *poolState) addArrival(j *work.Job, stats *runStats, at, now time.Duration) {
+	p.addArrivalOf(j, func(step int) float64 { return stats.expectedMs(j.Steps[step].EstimateMs) }, at, now)
+}
+
+// addArrivalOf is addArrival with the expected run times of the job's steps in milliseconds.
+func (p *poolState) addArrivalOf(j *work.Job, expectedMs func(step int) float64, at, now time.Duration) {
 	total := 0.0
 	for i := range j.Steps {
 		s := &j.Steps[i]
 		if s.Serving {
 			continue
 		}
-		total += float64(int64(s.Count)*p.cpuEquivalent(s.Reservation())) * stats.expectedMs(s.EstimateMs) / 1000
+		total += float64(int64(s.Count)*p.cpuEquivalent(s.Reservation())) * expectedMs(i) / 1000
 	}
 	decay := math.Exp(-(now - at).Seconds() / arrivalWindow.Seconds())
 	p.arrivalCPU = p.arrivalAt(now) + total*decay/arrivalWindow.Seconds()
@@ -159,7 +166,7 @@
 func (t *Table) measurePools(now time.Duration) []*poolState {
 	minHostsByPool := map[string]int{}
 	for _, p := range t.pools {
-		p.waiting, p.running, p.serving, p.late = 0, 0, 0, 0
+		p.waiting, p.running, p.serving, p.late, p.waitingWork = 0, 0, 0, 0, 0
 		p.unplacedCPU, p.unplacedCount, p.labelDemands = 0, 0, p.labelDemands[:0]
 	}
 	for _, j := range t.activeJobs {
@@ -253,13 +260,16 @@
 		p.addLabelDemand(s, waiting, cpu)
 	}
 	p.waiting += int64(waiting) * cpu
-	if waiting > 0 && !s.spec.Serving && t.slack(s, now) < 0 {
+	if waiting > 0 && !s.spec.Serving {
+		p.waitingWork += float64(int64(waiting)*cpu) * t.meanMs(j, s.index) / 1000
+	}
+	if waiting > 0 && !s.spec.Serving && t.latenessWithRuns(s, t.typicalSlack(s, now)) != inTime {
 		p.late += int64(waiting) * cpu
 	}
 	if s.spec.Serving {
 		p.serving += int64(ordered) * cpu
 	} else {
-		p.running += int64(ordered) * cpu
+		p.running += int64(t.neededItems(s, now) * float64(cpu))
 	}
 	if ordered+waiting > 0 && s.spec.MaxPerTarget > 0 {
 		minHostsByPool[p.name] = max(minHostsByPool[p.name], (s.spec.Count+s.spec.MaxPerTarget-1)/s.spec.MaxPerTarget)
--- a/sched/renew.go
+++ b/sched/renew.go
@@ -148,6 +148,7 @@
 	if tgt.unreachable {
 		t.logEvent("answers", string(id), "renewal", tgt.Address)
 	}
+	tgt.noteLateReply(now)
 	tgt.recordAnswer(reply.ClockMs, now)
 	tgt.answeredAt, tgt.missedCall, tgt.doubtful = now, false, false
 	tgt.readingMs, tgt.readingSentAt = reply.ClockMs, sent
@@ -283,6 +284,7 @@
 	}
 	it.metric = r.Metric
 	it.atFullSpeed = r.SpeedPercent == fullPacePercent
+	it.timed = it.timed && it.atFullSpeed
 }
 
 func (t *Table) findItem(id work.ItemID) *item {
@@ -299,7 +301,7 @@
 	it.step.waiting--
 	it.target = tgt
 	it.confirmed, it.confirmedAt, it.doubtful = true, now, false
-	it.sent, it.incarnation = true, tgt.incarnation
+	it.sent, it.incarnation, it.timed = true, tgt.incarnation, false
 	it.stopping, it.stopConfirmedAt = false, 0
 	tgt.charge(it)
 	// One lease from now; leaseDuration/40 allows for a target's clock that is up to 2% slow.
--- a/sched/retain.go
+++ b/sched/retain.go
@@ -231,7 +231,13 @@
 	for _, h := range t.sortedHosts {
 		pools[h.Pool] = true
 	}
-	maps.DeleteFunc(t.runStatsByQueue, func(name string, _ *runStats) bool { return t.isUnused("queue/"+name, queues[name], now) })
+	maps.DeleteFunc(t.runStatsByQueue, func(name string, _ *runStats) bool {
+		unused := t.isUnused("queue/"+name, queues[name], now)
+		if unused && t.learned != nil {
+			t.learned.Drop(name)
+		}
+		return unused
+	})
 	maps.DeleteFunc(t.pools, func(name string, _ *poolState) bool { return t.isUnused("pool/"+name, pools[name], now) })
 	maps.DeleteFunc(t.usage, func(name string, used work.Resources) bool {
 		return t.isUnused("team/"+name, teams[name] || used != work.Resources{}, now)
--- a/sched/table.go
+++ b/sched/table.go
@@ -5,6 +5,7 @@
 	"sort"
 	"time"
 
+	"lavenderwing.example/lavenderwing/learn"
 	"lavenderwing.example/lavenderwing/work"
 )
 
@@ -56,6 +57,10 @@
 	usage map[string]work.Resources
 	// runStatsByQueue holds the run times that each queue's finished runs have shown.
 	runStatsByQueue map[string]*runStats
+	// learned holds the learned run times, nil if the feature is off. expectationErrors holds the ratios of actual to expected times that have not been taken yet.
+	learned           *learn.Model
+	expectationErrors []float64
+	learnedLoggedAt   time.Duration
 
 	// candidateBuffer holds the candidates of the last plan, so that the next one reuses their memory.
 	candidateBuffer []candidate
@@ -157,6 +162,7 @@
 	for _, o := range opts {
 		o(t)
 	}
+	t.startLearning()
 	return t
 }
 
@@ -208,7 +214,7 @@
 		t.SetAsideJob(record, fmt.Sprintf("progress may take %d bytes in a record of %d", size, t.recordLimit), now)
 		return true
 	}
-	t.ensurePool(j.queue.Pool).addArrival(record, t.ensureRunStats(j.queue.Name), t.arrivedAt(record, now), now)
+	t.ensurePool(j.queue.Pool).addArrivalOf(record, func(step int) float64 { return t.meanMs(j, step) }, t.arrivedAt(record, now), now)
 	return true
 }
 
--- a/sched/target.go
+++ b/sched/target.go
@@ -25,7 +25,9 @@
 	// incarnation is the start time of the target's present incarnation, 0 while unknown.
 	incarnation int64
 	used        work.Resources
-	runs        []*item
+	// busyUntil is when the last of the items that were started here is expected to end, by learned run times.
+	busyUntil time.Duration
+	runs      []*item
 	// unexpected holds the runs in the last renewal reply that this holder does not expect on the target.
 	unexpected map[runKey]bool
 	// orphanUsage is the total charge of runs in the last renewal reply that this holder does not expect on the target.
