--- a/agent/retain.go
+++ b/agent/retain.go
@@ -111,7 +111,7 @@
 // reportJobs updates the metrics of the jobs that the holder knows and of the pools' forecasts, and returns the number of those whose retention is over.
 func (h *Holder) reportJobs() int {
 	h.mu.Lock()
-	counts, backlog, forecasts := h.table.CountJobs(), h.table.CountExpired(h.agent.clock.Now()), h.table.PoolForecasts()
+	counts, backlog, forecasts, learned := h.table.CountJobs(), h.table.CountExpired(h.agent.clock.Now()), h.table.PoolForecasts(), h.table.LearnedRuns()
 	h.mu.Unlock()
 	for state := work.Queued; state <= work.Cancelled; state++ {
 		h.agent.meters.scope.Tagged(map[string]string{"state": state.String()}).Gauge("jobs").Update(float64(counts[state]))
@@ -119,6 +119,9 @@
 	for pool, cpu := range forecasts {
 		h.agent.meters.scope.Tagged(map[string]string{"pool": pool}).Gauge("pool_forecast").Update(cpu)
 	}
+	for queue, runs := range learned {
+		h.agent.meters.scope.Tagged(map[string]string{"queue": queue}).Gauge("learned_runs").Update(runs)
+	}
 	h.agent.meters.backlog.Update(float64(backlog))
 	return backlog
 }
--- a/sched/job.go
+++ b/sched/job.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"lavenderwing.example/lavenderwing/blame"
+	"lavenderwing.example/lavenderwing/learn"
 	"lavenderwing.example/lavenderwing/work"
 )
 
@@ -35,6 +36,8 @@
 	// doubtful means that the answer to the start may have come from a later incarnation of the target than the one that it was sent to.
 	doubtful  bool
 	orderedAt time.Duration
+	// timed means that nothing is known by which the time from orderedAt to the reported end would differ from the run time.
+	timed bool
 	// stopping means that a stop was ordered, at stopOrderedAt; stopConfirmedAt is when it was answered.
 	stopping        bool
 	stopOrderedAt   time.Duration
@@ -83,6 +86,10 @@
 	// stranded counts the items on targets of evacuated zones that the disruption budget lets leave and for which no other target has room, and strandedSince is since when there have been any.
 	stranded      int
 	strandedSince time.Duration
+	// restMs is the expected time from the start of restWaiting waiting items to the job's end, computed when the queue had restAtRuns finished runs.
+	restMs      float64
+	restWaiting int
+	restAtRuns  float64
 	// advice is nil until advice is requested.
 	advice *adviceState
 }
@@ -94,6 +101,8 @@
 	due        int64
 	steps      []*step
 	unfinished int
+	// runsUntil is when the items that run now, and the steps after them, are expected to be complete, 0 if that is not known or none runs.
+	runsUntil time.Duration
 }
 
 // job is an accepted job and its progress.
@@ -133,6 +142,12 @@
 	// criticalPathsMs holds the expected time from each step's start to the job's end, computed when the queue had criticalPathsAtRuns finished runs.
 	criticalPathsMs     []float64
 	criticalPathsAtRuns float64
+	// stats are those of the queue, nil until they are first used; they are kept as long as a job of the queue is active.
+	stats *runStats
+	// endsMs is criticalPathsMs with the time of the slowest of each step's items, where that has been learned.
+	endsMs []float64
+	// expectations holds what was learned of each step's run time when criticalPathsMs was computed.
+	expectations []learn.Expectation
 }
 
 func newJob(record *work.Job, queue *work.Queue, acceptedAt time.Duration) *job {
