Learn from runs whose progress is shown, and read the remaining time from it

A target shows the progress of batch items in percent, which was taken for their speed, so that only runs that ended before the first reply taught; pools left out room of runs that end soon, which the next step of the same job wants; and slack by the slowest item of a step held back wide steps. Change: progress is kept with the run and gives its remaining time from a tenth on; slack is by the median; running items count in full; the other two are left out.

--- a/learn/shape.go
+++ b/learn/shape.go
@@ -1,7 +1,6 @@
 package learn
 
 import (
-	"math"
 	"sort"
 	"time"
 
@@ -130,20 +129,6 @@
 	return s.ratios[max(n-1, 0)]
 }
 
-// bodyQuantile returns the ratio that the given part of the runs up to tailFactor does not exceed.
-func (s *summary) bodyQuantile(q float64) float64 {
-	if len(s.above) == 0 {
-		return 1
-	}
-	end, tail := sort.SearchFloat64s(s.ratios, tailFactor), 0.0
-	if end < len(s.above) {
-		tail = s.above[end]
-	}
-	rest := tail + (1-q)*(s.above[0]-tail)
-	n := sort.Search(end, func(n int) bool { return s.above[n] <= rest })
-	return s.ratios[max(n-1, 0)]
-}
-
 // negligible is the part of all runs below which those beyond a ratio say nothing any more, because they have nearly been forgotten.
 const negligible = 1e-5
 
@@ -170,17 +155,6 @@
 // Known reports whether enough runs of the queue have been observed.
 func (e *Expectation) Known() bool { return e.shape != nil }
 
-// slowestShare is the share of the cases in which n runs have ended within Slowest. In trials with bursts of twice a pool's capacity, 0.5, 0.7 and 0.9 had fewer jobs in time on most of four loads.
-const slowestShare = 0.8
-
-// Slowest returns the time in milliseconds within which n runs that begin together have ended in slowestShare of the cases, without those of the tail; it is 0 if too little is known of the queue.
-func (e *Expectation) Slowest(n int) float64 {
-	if e.shape == nil || n < 1 {
-		return 0
-	}
-	return e.shape.bodyQuantile(math.Pow(slowestShare, 1/float64(n))) * e.typical
-}
-
 // Remaining returns the expected remaining time of a run that has lasted the given time, 0 if too little is known of the queue.
 func (e *Expectation) Remaining(ran time.Duration) time.Duration {
 	if e.shape == nil {
--- a/sched/estimate.go
+++ b/sched/estimate.go
@@ -77,15 +77,14 @@
 	steps := j.record.Steps
 	if j.criticalPathsMs == nil {
 		j.criticalPathsMs = make([]float64, len(steps))
-		j.endsMs = make([]float64, len(steps))
 		j.expectations = make([]learn.Expectation, len(steps))
 	}
 	for i := len(steps) - 1; i >= 0; i-- {
-		longest, longestEnd := 0.0, 0.0
+		longest := 0.0
 		for n := i + 1; n < len(steps); n++ {
 			for _, dependency := range steps[n].After {
 				if dependency == i {
-					longest, longestEnd = max(longest, j.criticalPathsMs[n]), max(longestEnd, j.endsMs[n])
+					longest = max(longest, j.criticalPathsMs[n])
 				}
 			}
 		}
@@ -95,7 +94,6 @@
 			expectedMs = stats.expectedMs(steps[i].EstimateMs)
 		}
 		j.criticalPathsMs[i] = longest + expectedMs
-		j.endsMs[i] = longestEnd + max(j.expectations[i].Slowest(steps[i].Count), expectedMs)
 	}
 	j.criticalPathsAtRuns = stats.runs
 	return j.criticalPathsMs
--- a/sched/job.go
+++ b/sched/job.go
@@ -44,6 +44,9 @@
 	stopConfirmedAt time.Duration
 	// atFullSpeed means that the last renewal reply showed the run at full pace; a serving item counts as available only then.
 	atFullSpeed bool
+	// progressPercent is the part of the work that an item that is not serving had done at progressAt, by the last renewal reply; 0 if none has shown it.
+	progressPercent int
+	progressAt      time.Duration
 	// metric is a serving item's tail latency in milliseconds, or the CPU that another item uses, from the last renewal reply.
 	metric float64
 	// pacePercent is the ordered pace of the run in percent of full speed.
@@ -86,10 +89,6 @@
 	// stranded counts the items on targets of evacuated zones that the disruption budget lets leave and for which no other target has room, and strandedSince is since when there have been any.
 	stranded      int
 	strandedSince time.Duration
-	// restMs is the expected time from the start of restWaiting waiting items to the job's end, computed when the queue had restAtRuns finished runs.
-	restMs      float64
-	restWaiting int
-	restAtRuns  float64
 	// advice is nil until advice is requested.
 	advice *adviceState
 }
@@ -144,8 +143,6 @@
 	criticalPathsAtRuns float64
 	// stats are those of the queue, nil until they are first used; they are kept as long as a job of the queue is active.
 	stats *runStats
-	// endsMs is criticalPathsMs with the time of the slowest of each step's items, where that has been learned.
-	endsMs []float64
 	// expectations holds what was learned of each step's run time when criticalPathsMs was computed.
 	expectations []learn.Expectation
 }
--- a/sched/learned.go
+++ b/sched/learned.go
@@ -14,8 +14,6 @@
 const (
 	// learnedLogInterval is how often what has been learned of a queue is logged.
 	learnedLogInterval = 10 * time.Second
-	// freeingSoon is how long a run may last on to count in full for the size of its pool; the room of one that ends sooner counts in proportion. It is the time for which a surplus must last before hosts are moved.
-	freeingSoon = surplusDelay
 	// maxErrorSamples bounds the ratios of actual to expected run times that wait to be taken.
 	maxErrorSamples = 10_000
 )
@@ -72,34 +70,19 @@
 
 // isTimed reports whether the time since the run was ordered is its run time: this holder has ordered it, it has run at full pace without a stop, and its target has answered all calls, so that its end is not reported late.
 func (it *item) isTimed(tgt *target) bool {
-	return it.timed && !it.stopping && (tgt.unreachableSince == 0 || tgt.unreachableSince < it.orderedAt)
+	return it.timed && !it.stopping && it.pacePercent == fullPacePercent && (tgt.unreachableSince == 0 || tgt.unreachableSince < it.orderedAt)
 }
 
-// runningMs is the time in milliseconds that the run of an ordered item is expected to last on, by what has been learned of its step; a run of which nothing is known is expected to have just begun.
-func runningMs(e *learn.Expectation, it *item, now time.Duration) float64 {
-	return float64(e.Remaining(max(now-it.orderedAt, 0))) / float64(time.Millisecond)
-}
+// minProgressPercent is the progress from which it tells the remaining time better than other runs do: a target reports it in whole percent, and a run begins with a start-up of some tenths of a second.
+const minProgressPercent = 10
 
-// neededItems is the number of a step's running items for the size of its pool. One that ends within freeingSoon counts in part, because waiting or arriving work gets its room before a host could.
-func (t *Table) neededItems(s *step, now time.Duration) float64 {
-	running := s.unfinished - s.waiting
-	t.criticalPaths(s.job)
-	if s.spec.Serving || running == 0 || !s.job.expectations[s.index].Known() {
-		return float64(running)
-	}
-	e, needed := &s.job.expectations[s.index], 0.0
-	for _, it := range s.items {
-		if it.state != itemOrdered {
-			continue
-		}
-		if it.orderedAt == 0 {
-			// An earlier holder started it, at a time that is not known.
-			needed++
-			continue
-		}
-		needed += min(runningMs(e, it, now)/float64(freeingSoon/time.Millisecond), 1)
+// runningMs is the time in milliseconds that the run of an ordered item is expected to last on: by its progress if it is known, and else by what has been learned of its step. A run of which nothing is known is expected to have just begun.
+func runningMs(e *learn.Expectation, it *item, now time.Duration) float64 {
+	if it.progressPercent >= minProgressPercent && it.progressAt > it.orderedAt && it.orderedAt > 0 {
+		left := float64(it.progressAt-it.orderedAt) * float64(fullPacePercent-it.progressPercent) / float64(it.progressPercent)
+		return max(left-float64(now-it.progressAt), 0) / float64(time.Millisecond)
 	}
-	return needed
+	return float64(e.Remaining(max(now-it.orderedAt, 0))) / float64(time.Millisecond)
 }
 
 // meanMs is the expected mean run time of a step's items in milliseconds, long runs included, as it counts for the amount of work.
@@ -111,26 +94,6 @@
 	return t.ensureRunStats(j.queue.Name).expectedMs(j.record.Steps[step].EstimateMs)
 }
 
-// restMs is the expected time in milliseconds from the start of a step's waiting items to the end of the job. Where run times have been learned, it is that of the slowest items.
-func (t *Table) restMs(s *step) float64 {
-	j := s.job
-	t.criticalPaths(j)
-	e := &j.expectations[s.index]
-	if !e.Known() || s.waiting == s.spec.Count {
-		return j.endsMs[s.index]
-	}
-	if s.restWaiting != s.waiting || s.restAtRuns != j.criticalPathsAtRuns {
-		s.restWaiting, s.restAtRuns = s.waiting, j.criticalPathsAtRuns
-		s.restMs = j.endsMs[s.index] + max(e.Slowest(s.waiting), e.Median) - max(e.Slowest(s.spec.Count), e.Median)
-	}
-	return s.restMs
-}
-
-// typicalSlack is the slack by the critical path, which sizes pools: a job that is likely to be late is to get hosts as long as it may be in time.
-func (t *Table) typicalSlack(s *step, now time.Duration) time.Duration {
-	return s.deadline(t) - now - time.Duration(t.criticalPaths(s.job)[s.index])*time.Millisecond
-}
-
 // extendBusy notes until when a target is expected to be busy with an item that starts now.
 func (t *Table) extendBusy(it *item, tgt *target, now time.Duration) {
 	if t.learned == nil {
--- a/sched/plan.go
+++ b/sched/plan.go
@@ -206,9 +206,9 @@
 	return start + t.objective(s.job)
 }
 
-// slack is how much longer the step can wait without making its job late; it is negative if the job will be late anyway. Where run times have been learned, it counts the slowest of the items of each step.
+// slack is how much longer the step can wait without making its job late; it is negative if the job will be late anyway.
 func (t *Table) slack(s *step, now time.Duration) time.Duration {
-	return s.deadline(t) - now - time.Duration(t.restMs(s))*time.Millisecond
+	return s.deadline(t) - now - time.Duration(t.criticalPaths(s.job)[s.index])*time.Millisecond
 }
 
 // placeStep starts as many of a step's waiting items as fit. It reports whether an item found no room although its step needs no ticket or label and has no limit per target, so that no other item of its size finds room in the pool.
@@ -387,6 +387,7 @@
 	it.sent, it.doubtful, it.incarnation = false, false, tgt.incarnation
 	t.extendBusy(it, tgt, now)
 	it.timed = it.run == 1 && it.checkpoint == ""
+	it.progressPercent, it.progressAt = 0, 0
 	it.onTrial = it.suspect && tgt.trial == it.step.job
 	tgt.charge(it)
 	// The true lease is set when the order is sent. Until then the run counts as active for one lease from now; leaseDuration/40 allows for a target's clock that is up to 2% slow.
--- a/sched/pools.go
+++ b/sched/pools.go
@@ -316,13 +316,13 @@
 	if waiting > 0 && !s.spec.Serving {
 		p.waitingWork += float64(int64(waiting)*cpu) * t.meanMs(j, s.index) / 1000
 	}
-	if waiting > 0 && !s.spec.Serving && t.latenessWithRuns(s, t.typicalSlack(s, now)) != inTime {
+	if waiting > 0 && !s.spec.Serving && t.slack(s, now) < 0 {
 		p.late += int64(waiting) * cpu
 	}
 	if s.spec.Serving {
 		p.serving += int64(ordered) * cpu
 	} else {
-		p.running += int64(t.neededItems(s, now) * float64(cpu))
+		p.running += int64(ordered) * cpu
 	}
 	if ordered+waiting > 0 && s.spec.MaxPerTarget > 0 {
 		minHostsByPool[p.name] = max(minHostsByPool[p.name], (s.spec.Count+s.spec.MaxPerTarget-1)/s.spec.MaxPerTarget)
--- a/sched/renew.go
+++ b/sched/renew.go
@@ -309,8 +309,10 @@
 		it.checkpoint = r.Checkpoint
 	}
 	it.metric = r.Metric
-	it.atFullSpeed = r.SpeedPercent == fullPacePercent
-	it.timed = it.timed && it.atFullSpeed
+	it.atFullSpeed = r.Percent == fullPacePercent
+	if !it.step.spec.Serving {
+		it.progressPercent, it.progressAt = r.Percent, now
+	}
 }
 
 func (t *Table) findItem(id work.ItemID) *item {
--- a/work/order.go
+++ b/work/order.go
@@ -53,8 +53,8 @@
 	Item       ItemID
 	Run        int
 	Checkpoint string
-	// SpeedPercent is the run's speed in percent of its full speed.
-	SpeedPercent int
+	// Percent is the speed of a serving item in percent of its full speed, and the part of its work that any other item has done.
+	Percent int
 	// Metric is the tail latency in milliseconds of a serving item, and the CPU usage of any other item.
 	Metric float64
 }
