Serve more callers in time from a pool that is too small

Change: admission and order by shed, with -disable shed as before; stops of checkpointing items of lower priority by evict, with -disable preempt none; events refusedLoad and evicted, metrics shed_refusals, evictions and evicted_core_seconds; the weights of teams are looked up once; design note 21.

--- a/agent/holder.go
+++ b/agent/holder.go
@@ -229,10 +229,12 @@
 	var events []sched.Event
 	var adviceRequests []sched.AdviceRequest
 	var deposed bool
+	var evictions sched.Evictions
 	err := h.guardTable("a step of the table", func() {
 		h.table.SetWallClock(time.Now().UnixMilli(), now)
 		h.table.Plan(now)
 		orders := h.table.TakeOrders()
+		evictions = h.table.TakeEvictions()
 		events, adviceRequests, deposed = h.table.TakeEvents(), h.table.TakeAdviceRequests(), h.table.Deposed()
 		if h.driversStale || now-h.driversSyncedAt >= tickInterval {
 			h.driversStale, h.driversSyncedAt = false, now
@@ -246,6 +248,7 @@
 		return
 	}
 	h.logEvents(events)
+	h.agent.meters.countEvictions(evictions)
 	h.queueAdvice(adviceRequests)
 	if deposed {
 		h.depose("a target has seen a higher fencing token")
--- a/agent/intake.go
+++ b/agent/intake.go
@@ -228,6 +228,9 @@
 		return mesh.Reply{Outcome: mesh.TooLarge, Cause: fmt.Sprintf("progress of the job may take %d bytes in the store, which takes %d in a record", size, limit)}
 	}
 	if admission := h.admit(job); admission.Refused {
+		if admission.Reason != "" {
+			h.agent.meters.countShed(admission.Reason)
+		}
 		return mesh.Reply{
 			Outcome: mesh.Overload, RetryMs: admission.RetryAfter.Milliseconds(),
 			Cause: fmt.Sprintf("work ahead takes %d ms, the job may wait %d ms", admission.ExpectedWait.Milliseconds(), admission.MaxWait.Milliseconds()),
--- a/agent/metrics.go
+++ b/agent/metrics.go
@@ -11,6 +11,8 @@
 
 	"lavenderwing.example/lavenderwing/mesh"
 	"lavenderwing.example/lavenderwing/platform"
+	"lavenderwing.example/lavenderwing/sched"
+	"lavenderwing.example/lavenderwing/shed"
 )
 
 // latencyBuckets range from 1 ms, the latency of a local reply, to 4.1 s, beyond the callers' default timeout.
@@ -39,6 +41,13 @@
 	// stored holds what the last takeover has read of each topic so far.
 	stored   map[string]*storedTopic
 	refusals map[int]tally.Counter
+	// shed counts the jobs that admission has refused by their reason.
+	shed map[shed.Reason]tally.Counter
+	// evictions counts the runs that were stopped for urgent work, and evictedCoreSeconds the processor time that was lost by that.
+	evictions          tally.Counter
+	evictedCoreSeconds tally.Gauge
+	// lostCoreSeconds is the value of evictedCoreSeconds.
+	lostCoreSeconds float64
 }
 
 // storedTopic counts the records of a topic and their bytes, keys included.
@@ -54,7 +63,8 @@
 		cloudCalls: scope.Counter("cloud_calls"), renewals: scope.Counter("target_renewals"), starts: scope.Counter("starts"), panics: scope.Counter("panics"),
 		removals: scope.Counter("jobs_removed"), backlog: scope.Gauge("removal_backlog"),
 		epoch: scope.Gauge("holder_epoch"), version: scope.Gauge("config_version"),
-		decisions: map[string]tally.Counter{}, refusals: map[int]tally.Counter{}, stored: map[string]*storedTopic{},
+		evictions: scope.Counter("evictions"), evictedCoreSeconds: scope.Gauge("evicted_core_seconds"),
+		decisions: map[string]tally.Counter{}, refusals: map[int]tally.Counter{}, shed: map[shed.Reason]tally.Counter{}, stored: map[string]*storedTopic{},
 	}
 	for i, name := range kindNames {
 		m.latency[i] = scope.Tagged(map[string]string{"kind": name}).Histogram("request_latency", latencyBuckets)
@@ -91,6 +101,31 @@
 	c.Inc(1)
 }
 
+// countShed counts a job that admission has refused.
+func (m *meters) countShed(reason shed.Reason) {
+	m.mu.Lock()
+	c, ok := m.shed[reason]
+	if !ok {
+		c = m.scope.Tagged(map[string]string{"reason": string(reason)}).Counter("shed_refusals")
+		m.shed[reason] = c
+	}
+	m.mu.Unlock()
+	c.Inc(1)
+}
+
+// countEvictions counts runs that were stopped for urgent work.
+func (m *meters) countEvictions(e sched.Evictions) {
+	if e.Runs == 0 {
+		return
+	}
+	m.mu.Lock()
+	m.lostCoreSeconds += e.CoreSeconds
+	total := m.lostCoreSeconds
+	m.mu.Unlock()
+	m.evictions.Inc(int64(e.Runs))
+	m.evictedCoreSeconds.Update(total)
+}
+
 // resetStored begins to count what a takeover reads.
 func (m *meters) resetStored() {
 	m.mu.Lock()
--- a/sched/admit.go
+++ b/sched/admit.go
@@ -1,8 +1,10 @@
 package sched
 
 import (
+	"fmt"
 	"time"
 
+	"lavenderwing.example/lavenderwing/shed"
 	"lavenderwing.example/lavenderwing/work"
 )
 
@@ -19,6 +21,8 @@
 type Admission struct {
 	Refused    bool
 	RetryAfter time.Duration
+	// Reason says which work leaves no room for the job, empty if that is not known.
+	Reason shed.Reason
 	// ExpectedWait is the time that the work ahead of the job is expected to take, MaxWait the longest wait after which its result is still of use.
 	ExpectedWait time.Duration
 	MaxWait      time.Duration
@@ -37,6 +41,9 @@
 	if j.serving {
 		return Admission{}
 	}
+	if t.features.Enabled(work.Shedding) {
+		return t.admitByRoom(j, now)
+	}
 	criticalPath := t.criticalPathMs(j)
 	a := Admission{ExpectedWait: t.backlogTime(q), MaxWait: tooLateFactor*t.objective(j) - time.Duration(criticalPath*float64(time.Millisecond))}
 	if a.ExpectedWait > a.MaxWait {
@@ -46,6 +53,12 @@
 	return a
 }
 
+// refusalDetail describes the refusal of a job.
+func refusalDetail(j *job, a *Admission, waited time.Duration) string {
+	return fmt.Sprintf("queue=%s team=%s aheadMs=%d mayWaitMs=%d returnMs=%d refusedForMs=%d", j.record.Queue, j.record.Team,
+		a.ExpectedWait.Milliseconds(), a.MaxWait.Milliseconds(), a.RetryAfter.Milliseconds(), waited.Milliseconds())
+}
+
 // backlogTime is the time that the hosts of the queue's pool, present and planned, need for the waiting work, by the queue's mean run time.
 func (t *Table) backlogTime(q *work.Queue) time.Duration {
 	p, ok := t.pools[q.Pool]
--- a/sched/bench_test.go
+++ b/sched/bench_test.go
@@ -8,8 +8,9 @@
 	"lavenderwing.example/lavenderwing/work"
 )
 
-// BenchmarkPlanAtFullSize measures a plan of the largest fleet that the design allows for: 3,100 hosts in 58 pools, 250 teams, 10,000 waiting items and full pools.
-func BenchmarkPlanAtFullSize(b *testing.B) {
+// fullSizeTable returns a table of the largest fleet that the design allows for: 3,100 hosts in 58 pools, 250 teams, 10,000 waiting items and full pools.
+func fullSizeTable(b *testing.B) (*Table, time.Duration) {
+	b.Helper()
 	const hosts, pools, teams, jobs, items = 3100, 58, 250, 500, 20
 	c := &work.Config{Version: 1}
 	for n := range pools {
@@ -43,6 +44,12 @@
 		}
 		t.Flushed(batch)
 	}
+	return t, now
+}
+
+// BenchmarkPlanAtFullSize measures a plan of the table at full size.
+func BenchmarkPlanAtFullSize(b *testing.B) {
+	t, now := fullSizeTable(b)
 	b.ReportAllocs()
 	for b.Loop() {
 		now += 10 * time.Microsecond
@@ -50,3 +57,24 @@
 		t.TakeEvents()
 	}
 }
+
+// BenchmarkClassifyAtFullSize measures the decision on the order of full pools, which is made once each teamLoadInterval, at full size.
+func BenchmarkClassifyAtFullSize(b *testing.B) {
+	t, now := fullSizeTable(b)
+	now += time.Second
+	t.Plan(now)
+	b.ReportAllocs()
+	for b.Loop() {
+		t.classify(now)
+	}
+}
+
+// BenchmarkEvictAtFullSize measures the choice of runs to stop, which is made once each evictInterval, at full size.
+func BenchmarkEvictAtFullSize(b *testing.B) {
+	t, now := fullSizeTable(b)
+	t.Plan(now)
+	b.ReportAllocs()
+	for b.Loop() {
+		t.evictForUrgent(now)
+	}
+}
--- a/sched/ends.go
+++ b/sched/ends.go
@@ -11,6 +11,7 @@
 func (t *Table) applyEnd(it *item, outcome work.RunOutcome, checkpoint string, now time.Duration) {
 	tgt := it.target
 	j := it.step.job
+	t.countEvicted(it, outcome, checkpoint, now)
 	t.detach(it)
 	if checkpoint != "" {
 		it.checkpoint = checkpoint
--- a/sched/fair.go
+++ b/sched/fair.go
@@ -11,13 +11,32 @@
 	running int64
 	// hasWork means that work of the team waits or runs.
 	hasWork bool
+	// weight is the team's weight, 0 until it is looked up in the present configuration.
+	weight float64
 }
 
 // overShare reports whether the job's team uses more than its share of the pool.
 func (t *Table) overShare(j *job) bool {
 	p := t.ensurePool(j.queue.Pool)
 	load := p.ensureTeamLoad(j.record.Team)
-	return load.running > p.fairShare(t.teamWeight(j.record.Team))
+	return load.running > p.fairShare(t.loadWeight(load))
+}
+
+// loadWeight returns the weight of a load's team.
+func (t *Table) loadWeight(load *teamLoad) float64 {
+	if load.weight == 0 {
+		load.weight = t.teamWeight(load.team)
+	}
+	return load.weight
+}
+
+// forgetWeights has the weights of teams looked up again, because the configuration has changed.
+func (t *Table) forgetWeights() {
+	for _, p := range t.pools {
+		for i := range p.teamLoads {
+			p.teamLoads[i].weight = 0
+		}
+	}
 }
 
 // fairShare is the CPU in millicores that a team of the given weight may use while others wait.
@@ -67,7 +86,7 @@
 	for _, p := range t.pools {
 		for i := range p.teamLoads {
 			if p.teamLoads[i].hasWork {
-				p.totalWeight += t.teamWeight(p.teamLoads[i].team)
+				p.totalWeight += t.loadWeight(&p.teamLoads[i])
 			}
 		}
 	}
--- a/sched/job.go
+++ b/sched/job.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"lavenderwing.example/lavenderwing/shed"
 	"lavenderwing.example/lavenderwing/work"
 )
 
@@ -63,6 +64,10 @@
 	// suspect means that the item may have crashed a target by being started, and onTrial that the latest run is a trial.
 	suspect bool
 	onTrial bool
+	// savedAt is when the run's last checkpoint was seen, or when it was ordered. evicted means that the run is stopped for urgent work, and evictedAt is when one was last.
+	savedAt   time.Duration
+	evicted   bool
+	evictedAt time.Duration
 }
 
 // step is one step of one occurrence of a job.
@@ -80,6 +85,8 @@
 	noRoom bool
 	// noRoomSince is when attempts began to find no room, 0 if the last one found room.
 	noRoomSince time.Duration
+	// class says whether the step's job is served in time in a pool that is full.
+	class shed.Class
 	// advice is nil until advice is requested.
 	advice *adviceState
 }
@@ -121,6 +128,8 @@
 	nextOccurrence int
 	occurrences    []*occurrence
 	serving        bool
+	// refusedFor is how long before its acceptance the job was first refused, 0 if it was not.
+	refusedFor time.Duration
 	// suspects counts the items that are suspects. They are tried on trialTarget, nil until one is reserved; trialWantedAt is when the first attempt to reserve one was made.
 	suspects      int
 	trialTarget   *target
--- a/sched/model_test.go
+++ b/sched/model_test.go
@@ -97,6 +97,8 @@
 	retention modelRetention
 	// cancels adds cancellations and the faults that surround them, if that is enabled.
 	cancels modelCancels
+	// urgent adds urgent jobs and long ones that are stopped for them, if that is enabled.
+	urgent modelUrgent
 }
 
 func newModel(seed int64) *model {
@@ -172,6 +174,7 @@
 		m.crashes.submit(m, j)
 	}
 	m.cancels.submit(m, j)
+	m.urgent.submit(m, j)
 	m.jobs = append(m.jobs, j)
 	m.retention.submitAgain(m, j)
 	for _, h := range m.holders {
--- a/sched/modeltarget_test.go
+++ b/sched/modeltarget_test.go
@@ -167,7 +167,7 @@
 	}
 	m.crashes.begin(m, t, s.Item)
 	t.lastRun[s.Item] = s.Run
-	t.runs[s.Item] = &modelRun{run: s.Run, until: m.now + m.randomDuration(300*time.Millisecond, 1500*time.Millisecond), cpu: step.Demand.CPU}
+	t.runs[s.Item] = &modelRun{run: s.Run, until: m.now + m.urgent.runTime(m, step), cpu: step.Demand.CPU}
 	m.cancels.begun(m, t, s, step)
 }
 
--- a/sched/place.go
+++ b/sched/place.go
@@ -30,7 +30,7 @@
 
 // eligible reports whether the target may run items of the step, apart from its free capacity.
 func (t *Table) eligible(s *step, tgt *target, now time.Duration) bool {
-	return tgt.usable(now) && tgt.suits(s) && t.knowsCapacity(tgt, now)
+	return tgt.usable(now) && tgt.suits(s) && !tgt.keepsRoom(s, now) && t.knowsCapacity(tgt, now)
 }
 
 // startDeliveryTime is how long a start may take from its last check to its target.
--- a/sched/plan.go
+++ b/sched/plan.go
@@ -19,6 +19,9 @@
 	if now-t.teamLoadsMeasuredAt >= teamLoadInterval {
 		t.teamLoadsMeasuredAt = now
 		t.measureTeamLoads(now)
+		if t.features.Enabled(work.Shedding) {
+			t.classify(now)
+		}
 	}
 	// lastUnplaced holds, for each pool, the reservation of the last item that found no room although any target of the pool would do.
 	lastUnplaced := map[string]work.Resources{}
@@ -34,6 +37,10 @@
 			lastUnplaced[pool] = charge
 		}
 	}
+	if t.features.Enabled(work.Preemption) && now-t.evictedAtPlan >= evictInterval {
+		t.evictedAtPlan = now
+		t.evictForUrgent(now)
+	}
 	if now-t.hostsPlannedAt >= hostPlanInterval {
 		t.hostsPlannedAt = now
 		t.dropUnusedTargets(now)
@@ -89,8 +96,10 @@
 
 // candidate is a step with waiting items and its sort keys.
 type candidate struct {
-	step     *step
-	serving  bool
+	step    *step
+	serving bool
+	// useless means that the result will be of no use, so that the step comes after all others.
+	useless  bool
 	lateness lateness
 	priority int
 	// overShare means that the step's team uses more than its share of the pool.
@@ -130,6 +139,7 @@
 // candidates returns the steps that have waiting items and finished dependencies, in the order in which they are placed.
 func (t *Table) candidates(now time.Duration) []candidate {
 	list := t.candidateBuffer[:0]
+	shedding := t.features.Enabled(work.Shedding)
 	for _, j := range t.activeJobs {
 		if !j.active() {
 			continue
@@ -141,7 +151,11 @@
 			for _, s := range o.steps {
 				if s.waiting > 0 && s.dependenciesDone() {
 					slack := t.slack(s, now)
-					list = append(list, candidate{step: s, serving: s.spec.Serving, lateness: t.lateness(s, slack), priority: j.queue.Priority, overShare: !s.spec.Serving && t.overShare(j), slack: slack})
+					own := t.lateness(s, slack)
+					list = append(list, candidate{
+						step: s, serving: s.spec.Serving, useless: shedding && !s.spec.Serving && own == tooLate, lateness: s.demote(own), priority: j.queue.Priority,
+						overShare: !s.spec.Serving && t.overShare(j), slack: slack - j.refusedFor,
+					})
 				}
 			}
 		}
@@ -151,11 +165,13 @@
 	return list
 }
 
-// compareCandidates orders steps by five keys. Serving steps come first, because they are unavailable until they run. Then a lower priority number comes first. The third key is lateness, because late results are of less use. Fourth, teams within their share come before others. The last key is the slack, least first.
+// compareCandidates orders steps by six keys. Serving steps come first, because they are unavailable until they run. Steps whose results will be of no use come last. Then a lower priority number comes first. The fourth key is lateness, because late results are of less use. Fifth, teams within their share come before others. The last key is the slack, least first.
 func compareCandidates(a, b candidate) int {
 	switch {
 	case a.serving != b.serving:
 		return trueFirst(a.serving)
+	case a.useless != b.useless:
+		return trueFirst(b.useless)
 	case a.priority != b.priority:
 		return cmp.Compare(a.priority, b.priority)
 	case a.lateness != b.lateness:
@@ -350,6 +366,7 @@
 	it.run++
 	it.orderedAt = now
 	it.confirmed, it.stopping, it.atFullSpeed = false, false, false
+	it.savedAt, it.evicted = now, false
 	it.sent, it.doubtful, it.incarnation = false, false, tgt.incarnation
 	it.onTrial = it.suspect && tgt.trial == it.step.job
 	tgt.charge(it)
--- a/sched/pools.go
+++ b/sched/pools.go
@@ -5,6 +5,7 @@
 	"math"
 	"time"
 
+	"lavenderwing.example/lavenderwing/shed"
 	"lavenderwing.example/lavenderwing/work"
 )
 
@@ -67,6 +68,14 @@
 	late    int64
 	running int64
 	serving int64
+	// backlog is the expected work of all batch items that wait, in millicore-seconds, and full means that some have found no room.
+	backlog float64
+	full    bool
+	// demands holds the waiting work of the pool's occurrences, which demanding lists in the same order.
+	demands   []shed.Demand
+	demanding []*occurrence
+	// returns hands out the times at which refused callers should return.
+	returns shed.Returns
 }
 
 // planPools moves spare hosts to the pools that are short of hosts, and the hosts that no pool needs into the standby pool.
--- a/sched/renew.go
+++ b/sched/renew.go
@@ -279,6 +279,9 @@
 		it.confirmed, it.confirmedAt, it.doubtful = true, now, false
 	}
 	if r.Checkpoint != "" {
+		if r.Checkpoint != it.checkpoint {
+			it.savedAt = now
+		}
 		it.checkpoint = r.Checkpoint
 	}
 	it.metric = r.Metric
@@ -300,7 +303,7 @@
 	it.target = tgt
 	it.confirmed, it.confirmedAt, it.doubtful = true, now, false
 	it.sent, it.incarnation = true, tgt.incarnation
-	it.stopping, it.stopConfirmedAt = false, 0
+	it.stopping, it.stopConfirmedAt, it.evicted = false, 0, false
 	tgt.charge(it)
 	// One lease from now; leaseDuration/40 allows for a target's clock that is up to 2% slow.
 	tgt.leaseExpiresAt = max(tgt.leaseExpiresAt, now+leaseDuration+leaseDuration/40+leaseMargin)
--- a/sched/table.go
+++ b/sched/table.go
@@ -5,6 +5,7 @@
 	"sort"
 	"time"
 
+	"lavenderwing.example/lavenderwing/shed"
 	"lavenderwing.example/lavenderwing/work"
 )
 
@@ -60,6 +61,13 @@
 	// candidateBuffer holds the candidates of the last plan, so that the next one reuses their memory.
 	candidateBuffer []candidate
 
+	// evictedAtPlan is when runs were last chosen to be stopped for urgent work, and evictions counts those that have ended since the last TakeEvictions.
+	evictedAtPlan time.Duration
+	evictions     Evictions
+
+	// refusals remembers when jobs were first refused.
+	refusals shed.Memory
+
 	// expired holds the jobs whose retention was over before this holder took over; the value means that their records are being removed.
 	expired map[jobKey]bool
 	// removedKeys holds the keys whose records the next batch removes.
@@ -177,6 +185,7 @@
 		return false
 	}
 	t.config = c
+	t.forgetWeights()
 	t.poolNames, t.poolsRenamed = namedPools(c), true
 	for _, j := range t.activeJobs {
 		if q, ok := c.Queue(j.record.Queue); ok {
@@ -208,6 +217,7 @@
 		t.SetAsideJob(record, fmt.Sprintf("progress may take %d bytes in a record of %d", size, t.recordLimit), now)
 		return true
 	}
+	t.rememberRefusal(j, now)
 	t.ensurePool(j.queue.Pool).addArrival(record, t.ensureRunStats(j.queue.Name), t.arrivedAt(record, now), now)
 	return true
 }
--- a/sched/target.go
+++ b/sched/target.go
@@ -77,6 +77,9 @@
 	reserved   bool
 	trial      *job
 	trialSince time.Duration
+	// heldUntil bounds the time for which the target keeps the room of evicted runs for work whose priority is heldPriority or a lower number.
+	heldUntil    time.Duration
+	heldPriority int
 	// setAside means that this program cannot handle the target's replies.
 	setAside bool
 	// missingSince is when the first host list that lacks the unreachable target was requested, 0 while the list shows it.
