--- a/agent/holder.go
+++ b/agent/holder.go
@@ -230,10 +230,12 @@
 	var adviceRequests []sched.AdviceRequest
 	var deposed bool
 	var expectationErrors []float64
+	var evictions sched.Evictions
 	err := h.guardTable("a step of the table", func() {
 		h.table.SetWallClock(time.Now().UnixMilli(), now)
 		h.table.Plan(now)
 		orders := h.table.TakeOrders()
+		evictions = h.table.TakeEvictions()
 		events, adviceRequests, deposed = h.table.TakeEvents(), h.table.TakeAdviceRequests(), h.table.Deposed()
 		expectationErrors = h.table.TakeExpectationErrors()
 		if h.driversStale || now-h.driversSyncedAt >= tickInterval {
@@ -251,6 +253,7 @@
 	for _, ratio := range expectationErrors {
 		h.agent.meters.expectError.RecordValue(ratio)
 	}
+	h.agent.meters.countEvictions(evictions)
 	h.queueAdvice(adviceRequests)
 	if deposed {
 		h.depose("a target has seen a higher fencing token")
--- a/sched/ends.go
+++ b/sched/ends.go
@@ -12,6 +12,7 @@
 	tgt := it.target
 	j := it.step.job
 	timed := it.isTimed(tgt)
+	t.countEvicted(it, outcome, checkpoint, now)
 	t.detach(it)
 	if checkpoint != "" {
 		it.checkpoint = checkpoint
--- a/sched/job.go
+++ b/sched/job.go
@@ -5,6 +5,7 @@
 
 	"lavenderwing.example/lavenderwing/blame"
 	"lavenderwing.example/lavenderwing/learn"
+	"lavenderwing.example/lavenderwing/shed"
 	"lavenderwing.example/lavenderwing/work"
 )
 
@@ -69,6 +70,10 @@
 	// suspect means that the item may have crashed a target by being started, and onTrial that the latest run is a trial.
 	suspect bool
 	onTrial bool
+	// savedAt is when the run's last checkpoint was seen, or when it was ordered. evicted means that the run is stopped for urgent work, and evictedAt is when one was last.
+	savedAt   time.Duration
+	evicted   bool
+	evictedAt time.Duration
 }
 
 // step is one step of one occurrence of a job.
@@ -89,6 +94,8 @@
 	// stranded counts the items on targets of evacuated zones that the disruption budget lets leave and for which no other target has room, and strandedSince is since when there have been any.
 	stranded      int
 	strandedSince time.Duration
+	// class says whether the step's job is served in time in a pool that is full.
+	class shed.Class
 	// advice is nil until advice is requested.
 	advice *adviceState
 }
@@ -132,6 +139,8 @@
 	nextOccurrence int
 	occurrences    []*occurrence
 	serving        bool
+	// refusedFor is how long before its acceptance the job was first refused, 0 if it was not.
+	refusedFor time.Duration
 	// suspects counts the items that are suspects. They are tried on trialTarget, nil until one is reserved; trialWantedAt is when the first attempt to reserve one was made.
 	suspects      int
 	trialTarget   *target
--- a/sched/model_test.go
+++ b/sched/model_test.go
@@ -99,6 +99,8 @@
 	cancels modelCancels
 	// losses loses targets for good, if that is enabled.
 	losses modelLosses
+	// urgent adds urgent jobs and long ones that are stopped for them, if that is enabled.
+	urgent modelUrgent
 }
 
 func newModel(seed int64) *model {
@@ -175,6 +177,7 @@
 		m.crashes.submit(m, j)
 	}
 	m.cancels.submit(m, j)
+	m.urgent.submit(m, j)
 	m.jobs = append(m.jobs, j)
 	m.retention.submitAgain(m, j)
 	for _, h := range m.holders {
--- a/sched/pools.go
+++ b/sched/pools.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"lavenderwing.example/lavenderwing/peaks"
+	"lavenderwing.example/lavenderwing/shed"
 	"lavenderwing.example/lavenderwing/work"
 )
 
@@ -85,6 +86,14 @@
 	// waitingWork is the work of the waiting items in millicore-seconds, without serving ones.
 	waitingWork float64
 	serving     int64
+	// backlog is the expected work of all batch items that wait, in millicore-seconds, and full means that some have found no room.
+	backlog float64
+	full    bool
+	// demands holds the waiting work of the pool's occurrences, which demanding lists in the same order.
+	demands   []shed.Demand
+	demanding []*occurrence
+	// returns hands out the times at which refused callers should return.
+	returns shed.Returns
 }
 
 // planPools moves spare hosts to the pools that are short of hosts, and the hosts that no pool needs into the standby pool.
--- a/sched/table.go
+++ b/sched/table.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"lavenderwing.example/lavenderwing/learn"
+	"lavenderwing.example/lavenderwing/shed"
 	"lavenderwing.example/lavenderwing/work"
 )
 
@@ -67,6 +68,13 @@
 	// candidateBuffer holds the candidates of the last plan, so that the next one reuses their memory.
 	candidateBuffer []candidate
 
+	// evictedAtPlan is when runs were last chosen to be stopped for urgent work, and evictions counts those that have ended since the last TakeEvictions.
+	evictedAtPlan time.Duration
+	evictions     Evictions
+
+	// refusals remembers when jobs were first refused.
+	refusals shed.Memory
+
 	// expired holds the jobs whose retention was over before this holder took over; the value means that their records are being removed.
 	expired map[jobKey]bool
 	// removedKeys holds the keys whose records the next batch removes.
@@ -195,6 +203,7 @@
 		return false
 	}
 	t.config = c
+	t.forgetWeights()
 	t.poolNames, t.poolsRenamed = namedPools(c), true
 	for _, j := range t.activeJobs {
 		if q, ok := c.Queue(j.record.Queue); ok {
@@ -226,6 +235,7 @@
 		t.SetAsideJob(record, fmt.Sprintf("progress may take %d bytes in a record of %d", size, t.recordLimit), now)
 		return true
 	}
+	t.rememberRefusal(j, now)
 	t.ensurePool(j.queue.Pool).addArrivalOf(record, func(step int) float64 { return t.meanMs(j, step) }, t.arrivedAt(record, now), now)
 	return true
 }
--- a/sched/target.go
+++ b/sched/target.go
@@ -102,6 +102,9 @@
 	withheldSince time.Duration
 	// noTrialBefore is when the target may be reserved again after a reservation that withheld it for too long.
 	noTrialBefore time.Duration
+	// heldUntil bounds the time for which the target keeps the room of evicted runs for work whose priority is heldPriority or a lower number.
+	heldUntil    time.Duration
+	heldPriority int
 	// setAside means that this program cannot handle the target's replies.
 	setAside bool
 	// missingSince is when the first host list that lacks the unreachable target was requested, 0 while the list shows it.
