Report each unknown name of a configuration once, and drop an unused switch

Cause: the platform adds fields that this program does not use to every queue and pool, and each was a finding of its own: 27 notes on a configuration as it is written there. The switch 'speed' belongs to a part that is not built. Some comments were figurative, and two gave prices as reasons. Change: one note for each name, with the number of further entries; the switch is removed; the comments give times.

--- a/agent/driver_test.go
+++ b/agent/driver_test.go
@@ -75,7 +75,7 @@
 	_, h := newTestAgent(t)
 	start := sched.StartOrder{Target: "i-1", Start: work.StartRequest{Run: 1, FencingToken: 1}}
 	_, err := newDriver(h, "i-1", fake.LoopbackAddresses(1)[0]).startRun(start)
-	is.True(isUnsent(err)) // nobody listens there
+	is.True(isUnsent(err)) // no process listens there
 	silent := fake.LoopbackAddresses(1)[0]
 	lost := make(chan struct{})
 	startServer(t, is, silent, func(*fasthttp.RequestCtx) { <-lost })
--- a/agent/lost_test.go
+++ b/agent/lost_test.go
@@ -11,7 +11,7 @@
 	"lavenderwing.example/lavenderwing/mesh"
 )
 
-// TestSubmissionIsNotSentToALostStore guards against submissions whose fate nobody knows: while calls to the store fail, an append that is reset may or may not have been written, and its caller must not try again. Without an append it can be told truly that the job is not stored.
+// TestSubmissionIsNotSentToALostStore guards against submissions of which it is unknown whether they are stored: while calls to the store fail, an append that is reset may or may not have been written, and its caller must not try again. Without an append it can be told truly that the job is not stored.
 func TestSubmissionIsNotSentToALostStore(t *testing.T) {
 	is := is.New(t)
 	a, _ := newTestAgent(t)
@@ -24,7 +24,7 @@
 	is.Equal(a.storeDirect(r, true).Outcome, mesh.Undecided) // the holder may have stored it
 }
 
-// TestSubmissionIsNotSentToAHolderThatCannotWrite guards against submissions that get lost on their way to a holder that would only refuse them, so that nobody knows their fate.
+// TestSubmissionIsNotSentToAHolderThatCannotWrite guards against submissions that get lost on their way to a holder that would only refuse them, after which it is unknown whether they are stored.
 func TestSubmissionIsNotSentToAHolderThatCannotWrite(t *testing.T) {
 	is := is.New(t)
 	a, _ := newTestAgent(t)
--- a/blame/blame.go
+++ b/blame/blame.go
@@ -38,7 +38,7 @@
 const (
 	// None counts nothing.
 	None Count = iota
-	// Unanswered counts only towards isolation and pauses: nobody knows whether the run began.
+	// Unanswered counts only towards isolation and pauses: it is unknown whether the run began.
 	Unanswered
 	// Late counts only as one of IsolationCrashes: the target may have been cut off and have started anew for another cause.
 	Late
--- a/check/check.go
+++ b/check/check.go
@@ -1,7 +1,9 @@
 package check
 
 import (
+	"fmt"
 	"math"
+	"regexp"
 	"slices"
 	"strconv"
 	"strings"
@@ -65,15 +67,36 @@
 	if c.MaxBodyBytes < 0 {
 		k.add(Error, Whole, "", MaxBodyBytes, atLeast0, "is %d", c.MaxBodyBytes)
 	}
+	k.checkUnread()
+	if len(c.Queues) == 0 {
+		k.add(Warning, Whole, "", "", "at least one queue", "has no queues, so that every request is refused")
+	}
+}
+
+// listIndex matches the place of an entry in a list, as in routes[3].
+var listIndex = regexp.MustCompile(`\[\d+\]`)
+
+// checkUnread reports values that are not used as they are written, and once for each name those that are not known: platforms add such names to every entry of a list.
+func (k *checker) checkUnread() {
+	count := map[string]int{}
+	var first []work.UnreadField
 	for _, f := range k.unread {
-		if f.Want == "" {
-			k.add(Note, Whole, "", Field(f.Path), "", "is not known and has no effect")
+		if f.Want != "" {
+			k.add(Warning, Whole, "", Field(f.Path), f.Want, "is not used as it is written")
 			continue
 		}
-		k.add(Warning, Whole, "", Field(f.Path), f.Want, "is not used as it is written")
+		name := listIndex.ReplaceAllString(f.Path, "")
+		if count[name] == 0 {
+			first = append(first, f)
+		}
+		count[name]++
 	}
-	if len(c.Queues) == 0 {
-		k.add(Warning, Whole, "", "", "at least one queue", "has no queues, so that every request is refused")
+	for _, f := range first {
+		more := ""
+		if n := count[listIndex.ReplaceAllString(f.Path, "")] - 1; n > 0 {
+			more = fmt.Sprintf(", here and in %d more entries", n)
+		}
+		k.add(Note, Whole, "", Field(f.Path), "", "is not known and has no effect%s", more)
 	}
 }
 
--- a/cmds/nodecmd.go
+++ b/cmds/nodecmd.go
@@ -36,7 +36,7 @@
 			fs.StringVar(&c.settingsFile, "settings", platform.SettingsPath(), "settings file of the platform, in TOML")
 			fs.IntVar(&c.metricsPort, "metrics", 0, "port of the metrics page, 0 for none")
 			fs.BoolVar(&c.checkOnly, "check", false, "only check the settings")
-			fs.StringVar(&c.disabled, "disable", "", "parts of the scheduling to turn off, separated by commas: learn, shed, preempt, speed, peaks")
+			fs.StringVar(&c.disabled, "disable", "", "parts of the scheduling to turn off, separated by commas: learn, shed, preempt, peaks")
 		},
 		run: (*Config).runNode,
 	}
--- a/pack/choose.go
+++ b/pack/choose.go
@@ -6,7 +6,7 @@
 	"lavenderwing.example/lavenderwing/work"
 )
 
-// MaxMoves is the largest number of serving items that a host may hold to be emptied. A moved item is away for about a second, and a second of a host costs about as much as 0.9 of a move, so two items and the host's move are paid back by some 5 s without the host; more items need a longer time than a pool's demand can be relied on to stay low.
+// MaxMoves is the largest number of serving items that a host may hold to be emptied. Each moved item is away from its callers for about a second, and a move takes the host out of use for almost two, so that emptying a host of more items pays off only if the pool does without it for longer than its demand can be relied on to stay low.
 const MaxMoves = 2
 
 // Step describes the items of a serving step that are on the pool's hosts.
--- a/sched/consolidate.go
+++ b/sched/consolidate.go
@@ -10,7 +10,7 @@
 
 // Consolidation of serving items: a host that holds few of them is emptied when its pool does not need it, because a host with serving items is never spare. See package pack for what a move costs.
 const (
-	// consolidationDelay is how long a pool must have had more hosts than it needs. A pool's demand that has been low for two seconds, after it decayed, usually stays low for the 5 s after which emptying a host pays off, because turns of demand last longer.
+	// consolidationDelay is how long a pool must have had more hosts than it needs. A pool's demand that has been low for two seconds, after it decayed, usually stays low for several times the two seconds that moving a host takes, because turns of demand last longer.
 	consolidationDelay = 2 * time.Second
 	// consolidationTimeout is how long a host may wait for its serving items to leave before it is used again: an item takes about a second, and a host that drains does without new work.
 	consolidationTimeout = 5 * time.Second
--- a/sched/entryfuzz_test.go
+++ b/sched/entryfuzz_test.go
@@ -154,7 +154,7 @@
 	s.answer()
 }
 
-// answer renews the lease of each target at the address that the table has for it. A target of another name than the one there is told so, and nobody answers elsewhere.
+// answer renews the lease of each target at the address that the table has for it. A target of another name than the one there is told so, and at other addresses there is no answer.
 func (s *entryScene) answer() {
 	for _, w := range s.table.Targets() {
 		r := s.table.PrepareRenewal(w.ID, s.now)
--- a/sched/forecast.go
+++ b/sched/forecast.go
@@ -18,7 +18,7 @@
 	forecastLead = 500 * time.Millisecond
 	// backlogTime is the time in which a backlog should be cleared: about as long as the objective of a job with items of a second leaves it to wait.
 	backlogTime = time.Second
-	// expectedPeakTime is how long before a predicted peak no host is emptied of serving items, since that does not pay off in less (see pack.MaxMoves).
+	// expectedPeakTime is how long before a predicted peak no host is emptied of serving items, since the host would have to come back at once.
 	expectedPeakTime = 5 * time.Second
 )
 
--- a/sched/lease_test.go
+++ b/sched/lease_test.go
@@ -167,7 +167,7 @@
 	}
 }
 
-// TestRenewalAfterAWholeLeaseCarriesNone guards against a target that refuses a lease which has expired, and so tells nothing after a long cut.
+// TestRenewalAfterAWholeLeaseCarriesNone guards against a target that refuses a lease which has expired, so that the holder learns nothing from it after a long cut.
 func TestRenewalAfterAWholeLeaseCarriesNone(t *testing.T) {
 	is := is.New(t)
 	s := newCutScene(1)
--- a/sched/modelloss_test.go
+++ b/sched/modelloss_test.go
@@ -69,7 +69,7 @@
 	}
 }
 
-// lose has the target that is on a host now crash for good.
+// lose crashes the target that is on a host now, without a successor.
 func (c *modelLosses) lose(m *model, t *modelTarget) {
 	for t.replacement != nil {
 		t = t.replacement
--- a/sched/trial.go
+++ b/sched/trial.go
@@ -213,7 +213,7 @@
 		case !j.active() || !wanted:
 			t.endTrial(tgt)
 		case turnOver || now-tgt.trialSince > maxTrialWait:
-			// The job has waited all the same, so that its patience goes on.
+			// The job has waited all the same, so that its waiting time continues.
 			wantedAt := j.trialWantedAt
 			t.endTrial(tgt)
 			j.trialWantedAt = wantedAt
--- a/shed/returns.go
+++ b/shed/returns.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// Bounds of the time after which a refused caller should return. Retry-After has whole seconds, so it is at least one; at most ten, since callers give up by their own patience.
+// Bounds of the time after which a refused caller should return. Retry-After has whole seconds, so it is at least one; at most ten, since callers give up by their own timeouts.
 const (
 	MinReturn = time.Second
 	MaxReturn = 10 * time.Second
--- a/work/features.go
+++ b/work/features.go
@@ -17,14 +17,12 @@
 	Shedding Feature = "shed"
 	// Preemption stops checkpointing batch work for urgent work that would be late.
 	Preemption Feature = "preempt"
-	// TargetSpeeds gives less work to targets whose runs take longer than the learned run times.
-	TargetSpeeds Feature = "speed"
 	// PeakForecast sizes pools ahead of peaks that have recurred.
 	PeakForecast Feature = "peaks"
 )
 
 // allFeatures lists the parts in the order in which messages name them.
-var allFeatures = []Feature{LearnedTimes, Shedding, Preemption, TargetSpeeds, PeakForecast}
+var allFeatures = []Feature{LearnedTimes, Shedding, Preemption, PeakForecast}
 
 // Features says which parts of the scheduling are turned off; the zero value has all of them on.
 type Features struct{ disabled map[Feature]bool }
--- a/work/features_test.go
+++ b/work/features_test.go
@@ -15,7 +15,7 @@
 	for _, c := range []struct {
 		name    Feature
 		enabled bool
-	}{{LearnedTimes, false}, {PeakForecast, false}, {Shedding, true}, {Preemption, true}, {TargetSpeeds, true}} {
+	}{{LearnedTimes, false}, {PeakForecast, false}, {Shedding, true}, {Preemption, true}} {
 		is.Equal(f.Enabled(c.name), c.enabled)
 	}
 	_, err = ParseDisabled("learn,peak")
