--- a/agent/recover_test.go
+++ b/agent/recover_test.go
@@ -136,7 +136,6 @@
 	p.Evacuate("a")
 
 	h := newHolder(a, 1)
-	a.active = h
 	is.NoErr(h.recover())
 	now := a.clock.Now()
 	for _, zone := range []string{"a", "left"} {
--- a/sched/zoneload_test.go
+++ b/sched/zoneload_test.go
@@ -379,3 +379,14 @@
 	}
 	is.Equal(sim.servingIn("z0")+sim.servingIn("z1")+sim.servingIn("z2"), before)
 }
+
+// TestPoolsDoNotWantMoreHostsThanMayBeUsed guards against an admission that counts on hosts of an evacuated zone, and accepts more than can be served in time: the pools together want no more hosts than there are in the other zones.
+func TestPoolsDoNotWantMoreHostsThanMayBeUsed(t *testing.T) {
+	is := is.New(t)
+	sim := newZoneSimulation(t, 1, true)
+	sim.listHosts()
+	sim.submit(fmt.Sprintf("%016x", 5000), "batch", work.Step{Count: 500, Demand: work.Resources{CPU: 2000, MemMB: 1}, EstimateMs: 800})
+	sim.table.SetEvacuated([]string{leftZone}, sim.now)
+	sim.table.measurePools(sim.now)
+	is.Equal(sim.table.pools["p"].wanted(), 2*(zoneHosts+zoneSpares))
+}
