--- a/sched/place.go
+++ b/sched/place.go
@@ -6,8 +6,11 @@
 	"lavenderwing.example/lavenderwing/work"
 )
 
-// pickTarget returns the target with the highest score for a waiting item, or nil if none can run it.
+// pickTarget returns the target with the highest score for a waiting item, or nil if none can run it or starts are suspended.
 func (t *Table) pickTarget(it *item, now time.Duration) *target {
+	if t.startsSuspended {
+		return nil
+	}
 	s := it.step
 	pool := s.job.queue.Pool
 	charge := s.spec.Reservation()
@@ -30,7 +33,7 @@
 
 // eligible reports whether the target may run items of the step, apart from its free capacity.
 func (t *Table) eligible(s *step, tgt *target, now time.Duration) bool {
-	return tgt.usable(now) && tgt.suits(s) && t.knowsCapacity(tgt, now) && t.knowsEvacuations(now)
+	return tgt.usable(now) && tgt.suits(s) && t.knowsCapacity(tgt, now)
 }
 
 // startDeliveryTime is how long a start may take from its last check to its target.
--- a/sched/table.go
+++ b/sched/table.go
@@ -110,7 +110,7 @@
 	evacuations map[string]*evacuation
 	// operatorsReadAt is the time up to which the records of operators are known.
 	operatorsReadAt time.Duration
-	// startsSuspended means that the last plan could start nothing, because knowsEvacuations was false.
+	// startsSuspended means that the present or last plan starts and evicts nothing, because knowsEvacuations was false.
 	startsSuspended bool
 	// strandedSteps holds the steps with stranded items.
 	strandedSteps []*step
--- a/sched/trial.go
+++ b/sched/trial.go
@@ -66,7 +66,7 @@
 // mayTry reports whether the item may be started on its job's trial target, apart from the target's free capacity.
 func (t *Table) mayTry(it *item, tgt *target, now time.Duration) bool {
 	_, ticket := it.step.validTicket(tgt, now)
-	return tgt.available(now) && t.knowsCapacity(tgt, now) && t.knowsEvacuations(now) && tgt.Pool == it.step.job.queue.Pool && tgt.suits(it.step) && (ticket || !it.step.needsAdvice())
+	return tgt.available(now) && t.knowsCapacity(tgt, now) && tgt.Pool == it.step.job.queue.Pool && tgt.suits(it.step) && (ticket || !it.step.needsAdvice())
 }
 
 // reserveTrialTarget reserves the target on which a crash would cost least for the trial of the item's job, unless enough of the pool's targets are reserved.
--- a/sched/zones.go
+++ b/sched/zones.go
@@ -149,7 +149,9 @@
 	former := t.strandedSteps
 	t.strandedSteps = nil
 	if len(t.evacuations) > 0 {
-		t.evictFromZones(now)
+		if !t.startsSuspended {
+			t.evictFromZones(now)
+		}
 		t.reportEvacuated(now)
 	}
 	for _, s := range former {
