Test the consolidation of serving items over time

Cause: the scripts play single steps; nothing showed that a pool comes down to what it wants, and that no second item is away meanwhile. Change: a simulation of 24 serving items on 19 hosts beside a low load.

--- a/sched/load_test.go
+++ b/sched/load_test.go
@@ -42,6 +42,8 @@
 	target work.TargetID
 	run    int
 	until  time.Duration
+	// startedAt is when a serving item was started, 0 if it ran before.
+	startedAt time.Duration
 }
 
 const (
--- a/sched/peaks_test.go
+++ b/sched/peaks_test.go
@@ -33,6 +33,8 @@
 	jobs   int
 	inTime int
 	moves  int
+	// stops counts the serving items that were stopped.
+	stops int
 	// hostTime is the time that hosts were in the pool or on their way.
 	hostTime time.Duration
 }
@@ -76,6 +78,46 @@
 	return sim
 }
 
+// addServing adds hosts to the pool up to the given number, and a job whose serving items run on its targets by turns.
+func (sim *poolSimulation) addServing(hosts, items int) {
+	j := &work.Job{ID: servingJob, Queue: "q", Spec: "s", Team: "t", AcceptedMs: sim.now.Milliseconds(), Steps: []work.Step{{Count: items, Demand: work.Resources{CPU: 2200, MemMB: 7600}, Serving: true, MaxUnavailable: 1, MaxPerTarget: 3}}}
+	progress := &work.JobProgress{State: work.Running}
+	for n := range items {
+		h := sim.hosts[n%hosts]
+		if h.Pool != "p" {
+			h.Pool = "p"
+			sim.start(h)
+		}
+		item := work.ItemID{Job: j.ID, Index: n}
+		progress.Items = append(progress.Items, work.ItemProgress{Index: n, Run: 1, Target: h.Target})
+		sim.runs[h.Target][item] = simulatedRun{target: h.Target, run: 1, until: math.MaxInt64}
+	}
+	sim.table.LoadJob(j, progress, sim.now)
+}
+
+// servingJob is the job of the serving items.
+const servingJob = work.JobID("ffffffffffffffff")
+
+// servingStart is how long a started serving item takes until it is at full pace.
+const servingStart = 500 * time.Millisecond
+
+// stopServing ends the serving items that the table has stopped.
+func (sim *poolSimulation) stopServing() {
+	for _, o := range sim.table.TakeOrders() {
+		s, ok := o.(StopOrder)
+		if !ok {
+			continue
+		}
+		if r, ok := sim.runs[s.Target][s.Item]; ok && r.run == s.Run {
+			delete(sim.runs[s.Target], s.Item)
+			sim.lastEnd[s.Target]++
+			sim.ends[s.Target] = append(sim.ends[s.Target], work.EndedRun{Sequence: sim.lastEnd[s.Target], Item: s.Item, Run: s.Run, Outcome: work.RunStopped})
+			sim.stops++
+		}
+		sim.table.StopAnswered(s, work.OrderReply{ClockMs: sim.now.Milliseconds()}, sim.now)
+	}
+}
+
 // start starts a new target on the host.
 func (sim *poolSimulation) start(h *simulatedHost) {
 	if h.Target != "" {
@@ -130,6 +172,11 @@
 	sim.table.Flushed(batch)
 	for _, o := range batch.Orders {
 		if s, ok := o.(StartOrder); ok {
+			if s.Start.Item.Job == servingJob {
+				sim.runs[s.Target][s.Start.Item] = simulatedRun{target: s.Target, run: s.Start.Run, startedAt: sim.now, until: math.MaxInt64}
+				sim.table.StartAnswered(s, work.OrderReply{ClockMs: sim.now.Milliseconds()}, sim.now)
+				continue
+			}
 			took := time.Duration(800*math.Exp(0.3*sim.NormFloat64())) * time.Millisecond
 			sim.runs[s.Target][s.Start.Item] = simulatedRun{target: s.Target, run: s.Start.Run, until: sim.now + took}
 			sim.table.StartAnswered(s, work.OrderReply{ClockMs: sim.now.Milliseconds()}, sim.now)
@@ -145,6 +192,7 @@
 		sim.table.HostOrderAnswered(o, work.HostOrderDone, true, sim.now)
 	}
 	sim.countEnded(batch)
+	sim.stopServing()
 	sim.table.TakeEvents()
 	sim.now += poolTick
 }
@@ -172,7 +220,11 @@
 	for _, item := range sortedItems(sim.runs[id]) {
 		r := sim.runs[id][item]
 		if sim.now < r.until {
-			reply.Running = append(reply.Running, work.ActiveRun{Item: item, Run: r.run, SpeedPercent: 100})
+			speed := 100
+			if r.startedAt > 0 && sim.now-r.startedAt < servingStart {
+				speed = 0
+			}
+			reply.Running = append(reply.Running, work.ActiveRun{Item: item, Run: r.run, SpeedPercent: speed})
 			continue
 		}
 		delete(sim.runs[id], item)
@@ -184,6 +236,32 @@
 	sim.table.RenewalAnswered(id, reply, acknowledged, sim.now, sim.now)
 }
 
+// TestServingItemsAreBroughtTogether guards against a pool that keeps 19 hosts for 24 serving items while its demand is low, and against more than one of them away at once: within 30 s the pool has to be down to what it wants and one more, with one move for each host that is given up.
+func TestServingItemsAreBroughtTogether(t *testing.T) {
+	is := is.New(t)
+	const hosts, items = 19, 24
+	sim := simulatePool(1, work.Features{}, 1, 2*time.Second, func(time.Duration) float64 { return 3 })
+	sim.addServing(hosts, items)
+	away := time.Duration(0)
+	for sim.now < 32*time.Second {
+		sim.tick(3)
+		running := 0
+		for _, runs := range sim.runs {
+			for item, r := range runs {
+				if item.Job == servingJob && (r.startedAt == 0 || sim.now-r.startedAt >= servingStart) {
+					running++
+				}
+			}
+		}
+		is.True(running >= items-1) // the disruption budget
+		away += time.Duration(items-running) * poolTick
+	}
+	p := sim.table.pools["p"]
+	t.Logf("hosts %d, wanted %d, items moved %d, away %v in all, host-seconds %.0f", len(p.hosts), p.wanted(), sim.stops, away, sim.hostTime.Seconds())
+	is.True(len(p.hosts) <= p.wanted()+1)
+	is.True(sim.stops >= hosts-len(p.hosts) && sim.stops <= 2*(hosts-len(p.hosts)))
+}
+
 // turn returns the rate of a load that is high for 4 s of every 12 s.
 func turn(now time.Duration, high float64) float64 {
 	if now%(12*time.Second) >= 8*time.Second {
