--- a/sched/load_test.go
+++ b/sched/load_test.go
@@ -65,6 +65,8 @@
 	run    int
 	began  time.Duration
 	until  time.Duration
+	// startedAt is when a serving item was started, 0 if it ran before.
+	startedAt time.Duration
 }
 
 // progress is the part of the run's work that is done, in whole percent.
