Review: work items of cancelled jobs run on behind a queue of stops

Cause: the stops for one target are sent one after the other, so that 800 work items on one executor outlast cancel_ms and stop_ms.

--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -23,7 +23,7 @@
 
 // cases maps the name of a case to its function, which reports whether the rule held.
 var cases = map[string]func(*bench, bool) (bool, error){
-	"crashes":  runCrashes,
+	"cancel":   runCancel,
 	"memory":   runMemory,
 	"oversize": runOversize,
 }
