Review: keep the cases inside the doses of the site file

Cause: case 11 killed one process of three (share 0.16), case 12 went on with its burst for 7.5 s (6.5 s), and case 13 had every client cancel (0.25).

--- a/review/standin3/cancelcase.go
+++ b/review/standin3/cancelcase.go
@@ -17,9 +17,13 @@
 	// cancelJobs jobs of cancelWidth work items are cancelled.
 	cancelJobs  = 10
 	cancelWidth = 80
+	// keptClients clients of keptJobs jobs each cancel nothing, so that a quarter of the clients does.
+	keptClients = 3
+	keptJobs    = 10
+	keptWidth   = 4
 )
 
-// runCancel cancels many jobs at once, whose work items run on one executor.
+// runCancel lets one of four clients cancel its jobs at once, whose work items run on one executor.
 func runCancel(b *bench, trouble bool) (bool, error) {
 	if err := b.startPlatform(nil, 4); err != nil {
 		return false, err
@@ -32,7 +36,7 @@
 		b.executors = append(b.executors, x)
 	}
 	b.configure()
-	if err := b.startNodes(3); err != nil {
+	if err := b.startNodes(nodeCount); err != nil {
 		return false, err
 	}
 	c := b.client("client", "k1")
@@ -40,11 +44,33 @@
 	body := fmt.Sprintf(`{"spec":"x","phases":[{"count":%d,"cpu":20,"mem_mb":40,"estimate_ms":1000,"long_running":true}]}`, cancelWidth)
 	for n := range cancelJobs {
 		id := fmt.Sprintf("%016x", 0xc000+n)
-		if err := c.submit(id, body, b.nodes[n%3]); err != nil {
+		if err := c.submit(id, body, b.nodes[n%nodeCount]); err != nil {
 			return false, err
 		}
 		ids = append(ids, id)
 	}
+	kept := fmt.Sprintf(`{"spec":"x","phases":[{"count":%d,"cpu":200,"mem_mb":40,"estimate_ms":1000,"long_running":true}]}`, keptWidth)
+	var keptIDs []string
+	for k := range keptClients {
+		other := b.client(fmt.Sprintf("other%d", k), "k2")
+		for n := range keptJobs {
+			id := fmt.Sprintf("%016x", 0xd000+k*keptJobs+n)
+			if err := other.submit(id, kept, b.nodes[n%nodeCount]); err != nil {
+				return false, err
+			}
+			keptIDs = append(keptIDs, id)
+		}
+	}
+	keptRunning := func() int {
+		count := 0
+		for _, x := range b.executors {
+			for _, id := range keptIDs {
+				r, _ := x.count(id)
+				count += r
+			}
+		}
+		return count
+	}
 	total := func() (all, most, stopping int) {
 		for _, x := range b.executors {
 			here := 0
@@ -59,7 +85,7 @@
 		return all, most, stopping
 	}
 	began := time.Now()
-	for all, _, _ := total(); all < cancelJobs*cancelWidth; all, _, _ = total() {
+	for all, _, _ := total(); all < cancelJobs*cancelWidth || keptRunning() < len(keptIDs)*keptWidth; all, _, _ = total() {
 		if time.Since(began) > 40*time.Second {
 			return false, fmt.Errorf("%d work items run", all)
 		}
@@ -74,7 +100,7 @@
 		return all == cancelJobs*cancelWidth, nil
 	}
 	for n, id := range ids {
-		if status, _ := c.call(b.nodes[n%3], http.MethodDelete, id, ""); status/100 != 2 {
+		if status, _ := c.call(b.nodes[n%nodeCount], http.MethodDelete, id, ""); status/100 != 2 {
 			return false, fmt.Errorf("cancelling of %s is answered with %d", id, status)
 		}
 	}
@@ -87,7 +113,7 @@
 		time.Sleep(100 * time.Millisecond)
 		all, _, _ = total()
 	}
-	b.record("%v after the last acknowledgement %d work items run on", time.Since(acknowledged), all)
+	b.record("%v after the last acknowledgement %d work items run on; %d of the other clients run", time.Since(acknowledged), all, keptRunning())
 	if !held {
 		b.record("BROKEN: work items of cancelled jobs run on later than cancel_ms and stop_ms after the acknowledgement")
 	}
--- a/review/standin3/cases.go
+++ b/review/standin3/cases.go
@@ -20,7 +20,7 @@
 		return false, err
 	}
 	b.configure()
-	if err := b.startNodes(3); err != nil {
+	if err := b.startNodes(nodeCount); err != nil {
 		return false, err
 	}
 	killed := b.holder(nil)
@@ -86,6 +86,9 @@
 	return held, nil
 }
 
+// nodeCount is the number of entry processes, as many as serra-lw has.
+const nodeCount = 8
+
 // Sizes of the burst of runMemory.
 const (
 	usualPerS   = 4.5
@@ -105,7 +108,7 @@
 		return false, err
 	}
 	b.configure()
-	if err := b.startNodes(4); err != nil {
+	if err := b.startNodes(nodeCount); err != nil {
 		return false, err
 	}
 	stop := make(chan struct{})
@@ -118,13 +121,14 @@
 	accepted := make(chan int, 1)
 	go func() {
 		c, count := b.client("hot", "k2"), 0
-		for n := range int(perS * hotTime.Seconds()) {
+		began := time.Now()
+		for n := 0; time.Since(began) < hotTime; n++ {
 			// The wide step waits for the first one, which lasts longer than the script.
 			body := fmt.Sprintf(`{"spec":"run=100000 cpu=100","phases":[{"count":1,"cpu":100,"mem_mb":64,"estimate_ms":10000},{"count":%d,"cpu":10,"mem_mb":1,"estimate_ms":50,"after":[0]}]}`, hotWidth)
 			if status, _ := c.call(b.nodes[n%len(b.nodes)], http.MethodPost, fmt.Sprintf("%016x", 0xf000+n), body); status/100 == 2 {
 				count++
 			}
-			time.Sleep(time.Duration(float64(time.Second) / perS))
+			time.Sleep(time.Until(began.Add(time.Duration(float64(n+1) / perS * float64(time.Second)))))
 		}
 		accepted <- count
 	}()
