Divide the progress of wide jobs, and isolate refused records

Cause: only the holder's own path to the store checked how large a job's progress may become, by the target names known then; the writer took the store's refusal (400, a record of 301,694 bytes) for a failure and repeated it unchanged until the holder was replaced, 23 times in 35 s.

Change: progress is divided into records of up to 128 items whose largest size is known, so that no job is refused or set aside for it. An append that the store refuses for its content is split until the refused record is found; its job waits, the others go on. Records of waves and statistics are bounded by bytes too.

--- a/agent/cluster_test.go
+++ b/agent/cluster_test.go
@@ -85,7 +85,7 @@
 	c := &cluster{T: t, is: is.New(t), http: &fasthttp.Client{}}
 	// The first address is the store's, the second the cloud's, and the others are the targets'.
 	addresses := fake.LoopbackAddresses(2 + clusterTargets)
-	p, err := stage.New(addresses, "pool", clusterTargets, work.Resources{CPU: 2000, MemMB: 1000})
+	p, err := stage.New(addresses, "pool", clusterTargets, work.Resources{CPU: 2000, MemMB: 4000})
 	c.is.NoErr(err)
 	c.platform = p
 	p.Store.SetPageItems(clusterPageItems)
--- a/agent/holder.go
+++ b/agent/holder.go
@@ -183,11 +183,12 @@
 			stepTimer.set(nextStep - h.agent.clock.Now())
 			continue
 		case err := <-writeResult:
-			if err != nil {
+			refused, ok := refusedKeys(err)
+			if !ok {
 				h.cancel(err)
 				return
 			}
-			h.finishBatch(batch, flushedAt)
+			h.finishBatch(batch, refused, flushedAt)
 			batch = nil
 			stepTimer.set(nextStep - h.agent.clock.Now())
 			continue
@@ -298,13 +299,16 @@
 	return err
 }
 
-// finishBatch sends the orders of a batch that is written and wakes the callers who wait for a final state that it records. The write began at flushedAt.
-func (h *Holder) finishBatch(b *sched.Batch, flushedAt time.Duration) {
+// finishBatch sends the orders of a batch that is written, but for the records that the store refused, and wakes the callers who wait for a final state that it records. The write began at flushedAt.
+func (h *Holder) finishBatch(b *sched.Batch, refused []string, flushedAt time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if len(refused) > 0 {
+		h.table.Refused(b, refused, h.agent.clock.Now())
+	}
 	for _, o := range b.HostOrders {
 		go h.sendHostOrder(o, flushedAt)
 	}
-	h.mu.Lock()
-	defer h.mu.Unlock()
 	h.table.Flushed(b)
 	h.acceptPostponed()
 	h.dispatch(b.Orders)
--- a/agent/holder_test.go
+++ b/agent/holder_test.go
@@ -220,7 +220,7 @@
 	is.True(h.table.Cancel(job.ID, time.Second))
 	recorded := make(chan struct{})
 	h.cancelWaiters[job.ID] = []chan struct{}{recorded}
-	h.finishBatch(earlier, 0)
+	h.finishBatch(earlier, nil, 0)
 	select {
 	case <-recorded:
 		t.Fatal("the cancellation is answered although no batch holds it")
@@ -228,7 +228,7 @@
 	}
 	later, err := h.nextBatch()
 	is.NoErr(err)
-	h.finishBatch(later, 0)
+	h.finishBatch(later, nil, 0)
 	<-recorded
 }
 
--- a/agent/intake.go
+++ b/agent/intake.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -62,6 +63,9 @@
 	defer timer.Stop()
 	select {
 	case o := <-s.outcome:
+		if o == mesh.TooLarge {
+			return mesh.Reply{Outcome: o, Cause: "the store refuses the job's record"}
+		}
 		return mesh.Reply{Outcome: o, RetryMs: retryAfterMs}
 	case <-timer.C:
 		if i.withdraw(s) {
@@ -145,7 +149,9 @@
 				records = append(records, platform.Record{Key: key})
 			}
 		}
-		if _, err := i.writer.append(h.ctx, records); err != nil {
+		_, err := i.writer.append(h.ctx, records)
+		refused, ok := refusedKeys(err)
+		if !ok {
 			h.agent.log.Warn("append of jobs failed", zap.Int("jobs", len(batch)), zap.Error(err))
 			// The store may have written the records in an attempt whose response was lost, so it is not certain whether the jobs are stored.
 			for _, s := range batch {
@@ -154,19 +160,35 @@
 			h.cancel(err)
 			return
 		}
-		for _, r := range removals {
-			r.done <- nil
-		}
-		now := h.agent.clock.Now()
-		h.mu.Lock()
-		for _, s := range batch {
-			h.accept(s.job, now)
+		i.finish(batch, removals, refused)
+		h.wakeLoop()
+	}
+}
+
+// finish accepts the jobs that the store holds now, answers their submissions, and ends the removals. The records with the refused keys are not written.
+func (i *intake) finish(batch []*submission, removals []*removal, refused []string) {
+	h := i.holder
+	for _, r := range removals {
+		if slices.ContainsFunc(r.keys, func(key string) bool { return slices.Contains(refused, key) }) {
+			r.done <- &RefusedRecordsError{Keys: refused}
+			continue
 		}
-		h.mu.Unlock()
-		for _, s := range batch {
-			s.outcome <- mesh.Answered
+		r.done <- nil
+	}
+	now := h.agent.clock.Now()
+	outcomes := make([]mesh.Outcome, len(batch))
+	h.mu.Lock()
+	for n, s := range batch {
+		outcomes[n] = mesh.Answered
+		if slices.Contains(refused, string(s.job.ID)) {
+			outcomes[n] = mesh.TooLarge
+			continue
 		}
-		h.wakeLoop()
+		h.accept(s.job, now)
+	}
+	h.mu.Unlock()
+	for n, s := range batch {
+		s.outcome <- outcomes[n]
 	}
 }
 
@@ -224,9 +246,6 @@
 	if err != nil {
 		return mesh.Reply{Outcome: mesh.NotDone, RetryMs: retryAfterMs, Cause: err.Error()}
 	}
-	if size, limit := h.maxProgressBytes(job), h.agent.settings.Store.RecordBytes; limit > 0 && size > limit {
-		return mesh.Reply{Outcome: mesh.TooLarge, Cause: fmt.Sprintf("progress of the job may take %d bytes in the store, which takes %d in a record", size, limit)}
-	}
 	if admission := h.admit(job); admission.Refused {
 		if admission.Reason != "" {
 			h.agent.meters.countShed(admission.Reason)
@@ -275,12 +294,6 @@
 	return team, queue, state, known
 }
 
-func (h *Holder) maxProgressBytes(job *work.Job) int {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.table.MaxProgressBytes(job)
-}
-
 func (h *Holder) admit(job *work.Job) sched.Admission {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/agent/recover.go
+++ b/agent/recover.go
@@ -231,22 +231,17 @@
 func (h *Holder) load(progress, accepted, direct []platform.Record, past *sched.JobSet) {
 	now := h.agent.clock.Now()
 	h.table.SetWallClock(time.Now().UnixMilli(), now)
-	known := make(map[string]*work.JobProgress, len(progress))
+	known := sched.NewProgressSet()
 	for _, r := range progress {
-		if !sched.IsJobKey(r.Key) {
-			if err := h.table.LoadHostOrWave(r.Key, r.Value); err != nil {
-				h.agent.log.Error("cannot decode a record of the progress topic", zap.String("key", r.Key), zap.Error(err))
-			}
-			continue
+		isProgress, err := known.Add(r.Key, r.Value, r.Offset)
+		if !isProgress {
+			err = h.table.LoadHostOrWave(r.Key, r.Value)
 		}
-		p := &work.JobProgress{}
-		if err := work.Decode(r.Value, p); err != nil {
-			h.agent.log.Error("cannot decode the progress of a job", zap.String("job", r.Key), zap.Error(err))
-			continue
+		if err != nil {
+			h.agent.log.Error("cannot decode a record of the progress topic", zap.String("key", r.Key), zap.Error(err))
 		}
-		known[r.Key] = p
 	}
-	h.addHalfRemoved(past, known, accepted, direct)
+	h.addHalfRemoved(past, known.Heads(), accepted, direct)
 	h.table.LoadExpired(past)
 	for _, records := range [][]platform.Record{accepted, direct} {
 		for _, r := range records {
@@ -264,33 +259,47 @@
 				}
 				// A caller has submitted a job with the identifier of one that is being removed.
 				past.Remove(job.ID)
+				h.table.RemoveRecords(known.Sections(job.ID))
+				known.Take(job.ID)
 			}
 			if !h.table.Known(job.ID) {
-				h.handleJob(job, now, func() { h.table.LoadJob(job, known[r.Key], now) })
+				h.handleJob(job, now, func() { h.table.LoadJob(job, known.Take(job.ID), now) })
 			}
 		}
 	}
+	h.removeLeftSections(past, known)
 	h.table.RestoreArrivals(now)
 	for _, r := range direct {
 		h.applyDirect(r)
 	}
 }
 
+// removeLeftSections has the sections of past jobs removed, which an earlier holder has left because it ended while it recorded the end of the job.
+func (h *Holder) removeLeftSections(past *sched.JobSet, left *sched.ProgressSet) {
+	for _, id := range left.SectionedJobs() {
+		if past.Contains(id) {
+			h.table.RemoveRecords(left.Sections(id))
+			continue
+		}
+		h.agent.log.Error("section of progress without the record of its job", zap.String("job", string(id)))
+	}
+}
+
 // addHalfRemoved adds the jobs whose own records are gone and whose final progress is left, because an earlier holder ended within their removal.
-func (h *Holder) addHalfRemoved(past *sched.JobSet, known map[string]*work.JobProgress, accepted, direct []platform.Record) {
+func (h *Holder) addHalfRemoved(past *sched.JobSet, known map[work.JobID]*work.JobProgress, accepted, direct []platform.Record) {
 	stored := make(map[string]bool, len(accepted)+len(direct))
 	for _, records := range [][]platform.Record{accepted, direct} {
 		for _, r := range records {
 			stored[r.Key] = true
 		}
 	}
-	for key, p := range known {
+	for id, p := range known {
 		switch {
-		case stored[key]:
+		case stored[string(id)]:
 		case sched.HasEnded(p):
-			past.Add(work.JobID(key))
+			past.Add(id)
 		default:
-			h.agent.log.Error("progress without the record of its job", zap.String("job", key))
+			h.agent.log.Error("progress without the record of its job", zap.String("job", string(id)))
 		}
 	}
 }
--- a/agent/retain_test.go
+++ b/agent/retain_test.go
@@ -76,7 +76,7 @@
 		return
 	}
 	r.is.NoErr(h.writeBatch(b))
-	h.finishBatch(b, h.agent.clock.Now())
+	h.finishBatch(b, nil, h.agent.clock.Now())
 }
 
 // keys returns the number of keys in a partition.
--- a/agent/stream.go
+++ b/agent/stream.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync/atomic"
 	"time"
 
+	"go.uber.org/zap"
+
 	"lavenderwing.example/lavenderwing/platform"
 )
 
@@ -61,18 +64,83 @@
 func isDecisive(err error) bool {
 	var fenced *platform.FencedError
 	var sequence *platform.SequenceError
+	return errors.As(err, &fenced) || errors.As(err, &sequence) || isRefused(err)
+}
+
+// isRefused reports whether the store does not take an append for what it contains.
+func isRefused(err error) bool {
+	var refused *platform.RefusedError
 	var tooLong *platform.KeyTooLongError
-	return errors.As(err, &fenced) || errors.As(err, &sequence) || errors.As(err, &tooLong)
+	return errors.As(err, &refused) || errors.As(err, &tooLong)
+}
+
+// RefusedRecordsError means that the store does not take some of the records of an append for what they contain. The others are written.
+type RefusedRecordsError struct {
+	Keys []string
+	// Cause is why the first of them was refused.
+	Cause error
+}
+
+// Error returns a message with the number of the records, the first key and the cause.
+func (e *RefusedRecordsError) Error() string {
+	return fmt.Sprintf("store refuses %d records, first %q: %v", len(e.Keys), e.Keys[0], e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *RefusedRecordsError) Unwrap() error { return e.Cause }
+
+// add adds a record that the store refuses.
+func (e *RefusedRecordsError) add(key string, cause error) {
+	if len(e.Keys) == 0 {
+		e.Cause = cause
+	}
+	e.Keys = append(e.Keys, key)
 }
 
-// append writes the records, in several appends if they exceed the store's limit for one, and returns the offset of the first, or -1 if it is not known. If it returns an error, some of them may be written.
+// refusedKeys returns the keys of the records that the store refuses and true, or false if the append has failed otherwise.
+func refusedKeys(err error) ([]string, bool) {
+	if err == nil {
+		return nil, true
+	}
+	var refused *RefusedRecordsError
+	if errors.As(err, &refused) {
+		return refused.Keys, true
+	}
+	return nil, false
+}
+
+// append writes the records, in several appends if they exceed the store's limit for one, and returns the offset of the first, or -1 if it is not known. A record that the store refuses for what it contains does not keep the others from being written: if the error is a RefusedRecordsError, all others are. With any other error, some of the records may be written.
 func (w *fencedWriter) append(ctx context.Context, records []platform.Record) (int64, error) {
+	refused := &RefusedRecordsError{}
 	first, rest := splitRecords(records, w.agent.settings.Store.RequestBytes)
-	offset, err := w.appendOnce(ctx, first)
+	offset, err := w.appendPart(ctx, first, refused)
 	for err == nil && len(rest) > 0 {
 		first, rest = splitRecords(rest, w.agent.settings.Store.RequestBytes)
-		_, err = w.appendOnce(ctx, first)
+		_, err = w.appendPart(ctx, first, refused)
+	}
+	if err == nil && len(refused.Keys) > 0 {
+		w.agent.log.Error("store refuses records", zap.String("topic", w.topic), zap.Strings("keys", refused.Keys), zap.Error(refused.Cause))
+		return offset, refused
+	}
+	return offset, err
+}
+
+// appendPart writes records that fit one append. If the store refuses them, it writes each half by itself, until the refused records are found.
+func (w *fencedWriter) appendPart(ctx context.Context, records []platform.Record, refused *RefusedRecordsError) (int64, error) {
+	offset, err := w.appendOnce(ctx, records)
+	if err == nil || !isRefused(err) || len(records) == 0 {
+		return offset, err
+	}
+	if len(records) == 1 {
+		refused.add(records[0].Key, err)
+		return -1, nil
+	}
+	half := len(records) / 2
+	offset, err = w.appendPart(ctx, records[:half], refused)
+	if err != nil {
+		return offset, err
 	}
+	_, err = w.appendPart(ctx, records[half:], refused)
 	return offset, err
 }
 
@@ -88,7 +156,7 @@
 	return records, nil
 }
 
-// appendOnce writes the records with one append and returns the offset of the first, or -1 if the offset is not known because the response was lost. It retries after every error except a platform.FencedError, a platform.KeyTooLongError and an unexplained platform.SequenceError, until the append is known to be written or the context ends.
+// appendOnce writes the records with one append and returns the offset of the first, or -1 if the offset is not known because the response was lost. It retries after every error except a platform.FencedError, an unexplained platform.SequenceError and a refusal of the records, until the append is known to be written or the context ends.
 func (w *fencedWriter) appendOnce(ctx context.Context, records []platform.Record) (int64, error) {
 	attempts := 0
 	for round := 0; ; round++ {
@@ -104,8 +172,7 @@
 			return 0, ctx.Err()
 		}
 		var fenced *platform.FencedError
-		var tooLong *platform.KeyTooLongError
-		if errors.As(err, &fenced) || errors.As(err, &tooLong) {
+		if errors.As(err, &fenced) || (isRefused(err) && len(records) > 0) {
 			return 0, err
 		}
 		var sequence *platform.SequenceError
--- a/mesh/message.go
+++ b/mesh/message.go
@@ -44,7 +44,7 @@
 	NotHolder
 	// Conflict means that the identifier of a submitted job is that of a job of another team. The request had no effect.
 	Conflict
-	// TooLarge means that the job can never be run, because its progress would exceed the store's limit for a record. The request had no effect.
+	// TooLarge means that the job can never be run, because the store does not take its record. The request had no effect.
 	TooLarge
 )
 
--- a/sched/flush.go
+++ b/sched/flush.go
@@ -77,18 +77,19 @@
 
 // Flush takes all that has changed since the last batch.
 func (t *Table) Flush(now time.Duration) (*Batch, error) {
-	b := &Batch{Orders: t.pendingStarts, jobs: t.dirty, removed: t.removedKeys}
-	t.pendingStarts, t.dirty, t.removedKeys = nil, nil, nil
+	b := &Batch{removed: t.removedKeys}
+	b.jobs, b.Orders = t.takeRecordable(now)
+	t.removedKeys = nil
 	for _, key := range b.removed {
 		b.Entries = append(b.Entries, Entry{Key: key})
 	}
 	for _, j := range b.jobs {
-		j.dirty = false
-		value, err := t.encodeProgress(j)
+		j.dirty, j.recordAfter = false, 0
+		entries, err := t.encodeProgress(j)
 		if err != nil {
 			return nil, err
 		}
-		b.Entries = append(b.Entries, Entry{Key: string(j.record.ID), Value: value})
+		b.Entries = append(b.Entries, entries...)
 		b.states = append(b.states, j.state)
 		b.cancelled = append(b.cancelled, j.cancelled)
 	}
@@ -106,6 +107,9 @@
 			b.acks = append(b.acks, ack{target: tgt, incarnation: tgt.incarnation, number: tgt.lastAppliedEnd})
 		}
 	}
+	if len(t.dirty) > 0 {
+		b.acks = t.withoutHeldEnds(b.acks)
+	}
 	return b, nil
 }
 
@@ -129,11 +133,7 @@
 	if len(record.Queues) == 0 {
 		return nil
 	}
-	if len(record.Queues) > maxRecordedQueues {
-		slices.SortStableFunc(record.Queues, func(a, b work.QueueRunStats) int { return cmp.Compare(b.Runs, a.Runs) })
-		record.Queues = record.Queues[:maxRecordedQueues]
-	}
-	value, err := work.Encode(&record)
+	value, err := t.encodeRunStats(&record)
 	if err != nil {
 		return err
 	}
@@ -142,6 +142,19 @@
 	return t.flushLearned(b)
 }
 
+// encodeRunStats encodes the statistics of the queues with the most runs, as many as fit a record.
+func (t *Table) encodeRunStats(record *work.RunStatsRecord) ([]byte, error) {
+	slices.SortStableFunc(record.Queues, func(a, b work.QueueRunStats) int { return cmp.Compare(b.Runs, a.Runs) })
+	record.Queues = record.Queues[:min(len(record.Queues), maxRecordedQueues)]
+	for {
+		value, err := work.Encode(record)
+		if err != nil || t.recordLimit == 0 || 1+len(statsKey)+len(value) <= t.recordLimit || len(record.Queues) == 0 {
+			return value, err
+		}
+		record.Queues = record.Queues[:len(record.Queues)/2]
+	}
+}
+
 // flushHosts adds the records of host orders, of the clocks that date them, and of waves.
 func (t *Table) flushHosts(b *Batch, now time.Duration) error {
 	b.HostOrders = t.issuedHostOrders
@@ -161,21 +174,37 @@
 		b.Entries = append(b.Entries, Entry{Key: clockKey, Value: value})
 	}
 	for _, w := range t.waveList {
-		if !w.dirty {
+		if !w.dirty || now < w.recordAfter {
 			continue
 		}
-		p := &work.WaveProgress{Completed: w.completed, Started: slices.Sorted(maps.Keys(w.begun))}
-		value, err := work.Encode(p)
+		value, err := t.encodeWave(w)
 		if err != nil {
 			return err
 		}
 		w.dirty = false
 		b.waves = append(b.waves, waveRecord{wave: w, completed: w.completed})
-		b.Entries = append(b.Entries, Entry{Key: wavePrefix + strconv.FormatInt(w.Number, 10), Value: value})
+		b.Entries = append(b.Entries, Entry{Key: waveKey(w.Number), Value: value})
 	}
 	return nil
 }
 
+func waveKey(number int64) string { return wavePrefix + strconv.FormatInt(number, 10) }
+
+// encodeWave encodes a wave's progress. If a wave that was announced again and again has outgrown a record, the hosts are left out that the present announcement does not name: it fits a record itself, and its hosts' names take less room here.
+func (t *Table) encodeWave(w *waveState) ([]byte, error) {
+	p := &work.WaveProgress{Completed: w.completed, Started: slices.Sorted(maps.Keys(w.begun))}
+	value, err := work.Encode(p)
+	if err != nil || t.recordLimit == 0 || 1+len(waveKey(w.Number))+len(value) <= t.recordLimit {
+		return value, err
+	}
+	named := map[string]bool{"": true}
+	for _, name := range w.Hosts {
+		named[name] = true
+	}
+	p.Started = slices.DeleteFunc(p.Started, func(name string) bool { return !named[name] })
+	return work.Encode(p)
+}
+
 // Flushed records that the store holds a batch.
 func (t *Table) Flushed(b *Batch) {
 	t.unwrittenSince = 0
@@ -196,31 +225,3 @@
 		}
 	}
 }
-
-// progress returns the job's progress record.
-func (j *job) progress() *work.JobProgress {
-	p := &work.JobProgress{State: j.state, Cancelled: j.cancelled, EndedMs: j.endedMs}
-	final := j.state.Final()
-	for _, o := range j.occurrences {
-		for _, s := range o.steps {
-			for _, it := range s.items {
-				if it.run == 0 || (final && it.target == nil) {
-					continue
-				}
-				ip := work.ItemProgress{
-					Occurrence: o.index, Step: s.index, Index: it.id.Index,
-					Done: it.state == itemEnded, Run: it.run, Failures: it.failures,
-				}
-				ip.Crashes, ip.Explained, ip.Suspect = it.crashes.Seen(), it.crashes.Explained, it.suspect
-				if it.target != nil {
-					ip.Target, ip.Incarnation, ip.OnTrial = it.target.ID, it.incarnation, it.onTrial
-				}
-				if s.spec.Checkpointing && it.state != itemEnded {
-					ip.Checkpoint = it.checkpoint
-				}
-				p.Items = append(p.Items, ip)
-			}
-		}
-	}
-	return p
-}
--- a/sched/host.go
+++ b/sched/host.go
@@ -24,7 +24,15 @@
 
 // IsJobKey reports whether a record's key is that of a job.
 func IsJobKey(key string) bool {
-	return key != clockKey && key != statsKey && !strings.HasPrefix(key, learnedPrefix) && !strings.HasPrefix(key, hostPrefix) && !strings.HasPrefix(key, wavePrefix)
+	if key == clockKey || key == statsKey {
+		return false
+	}
+	for _, prefix := range []string{learnedPrefix, hostPrefix, wavePrefix, sectionPrefix} {
+		if strings.HasPrefix(key, prefix) {
+			return false
+		}
+	}
+	return true
 }
 
 // HostOrder tells the cloud to move a host into a pool or to begin its maintenance for a wave.
@@ -95,7 +103,9 @@
 	// reported is what operators have been told: 0 nothing, 1 running, 2 completed.
 	reported int
 	dirty    bool
-	loggedAt time.Duration
+	// recordAfter is when a wave is recorded again whose record the store has refused.
+	recordAfter time.Duration
+	loggedAt    time.Duration
 }
 
 // ensureWave returns the wave with the number, and adds it without hosts if it is unknown.
--- a/sched/job.go
+++ b/sched/job.go
@@ -74,6 +74,9 @@
 	savedAt   time.Duration
 	evicted   bool
 	evictedAt time.Duration
+	// endedOn is the target that has listed the last end of the item, with the number endNumber in its incarnation endIncarnation.
+	endedOn                   *target
+	endIncarnation, endNumber int64
 }
 
 // step is one step of one occurrence of a job.
@@ -129,10 +132,15 @@
 	setAside bool
 	started  bool
 	dirty    bool
-	endedMs  int64
+	// recordAfter is when progress is recorded again that the store has refused, 0 if it was not refused, and heldOrders are the starts that wait for it.
+	recordAfter time.Duration
+	heldOrders  []Order
+	endedMs     int64
 	// endedAt is when the job ended or was submitted again after that, by the clock of this process, and removing means that its records are being removed from the store.
 	endedAt  time.Duration
 	removing bool
+	// sections holds the state of the sections of the job's progress beyond the first.
+	sections []sectionState
 	// storedDirectly means that a direct partition holds a record of the job.
 	storedDirectly bool
 	// nextOccurrence is the number of occurrences that have been added.
--- a/sched/load.go
+++ b/sched/load.go
@@ -71,11 +71,31 @@
 	for i := range progress.Items {
 		t.loadItem(j, &progress.Items[i], now)
 	}
+	t.completeLoaded(j, now)
+	t.loadSections(j, progress.Sections)
 	if j.state.Final() && !t.hasRuns(j) {
 		j.occurrences = nil
 	}
 }
 
+// completeLoaded completes a gang of which one member has ended and a job whose items have all ended. An earlier holder may have written the end of an item and not the records of the others.
+func (t *Table) completeLoaded(j *job, now time.Duration) {
+	if !j.active() {
+		return
+	}
+	for _, o := range j.occurrences {
+		for _, s := range o.steps {
+			if s.spec.Gang && s.unfinished > 0 && s.unfinished < len(s.items) {
+				t.completeGang(s, now)
+				t.markDirty(j)
+			}
+		}
+	}
+	if t.allOccurrencesDone(j) {
+		t.finishJob(j, work.Completed, now)
+	}
+}
+
 // loadRunStats restores what an earlier holder has learned of run times.
 func (t *Table) loadRunStats(value []byte) error {
 	var record work.RunStatsRecord
--- a/sched/model_test.go
+++ b/sched/model_test.go
@@ -30,6 +30,13 @@
 	runModels(t, modelSeeds, func(m *model) { m.maxListedEnds = 1 }, func(*model) {})
 }
 
+// TestJobsWithDividedProgressRunOnce guards against items that run twice, and jobs that never end, because a holder has ended before it had written all records of a job whose progress is divided.
+func TestJobsWithDividedProgressRunOnce(t *testing.T) {
+	limit := headBytes + maxItemBytes
+	runModels(t, modelSeeds, func(m *model) { m.recordLimit = limit }, func(*model) {})
+	runModels(t, modelSeeds, func(m *model) { m.recordLimit, m.retention = limit, newModelRetention() }, func(*model) {})
+}
+
 // runModels plays histories of the seeds from 0 on and fails the test with the first violation. It calls prepare before each history and inspect after it.
 func runModels(t *testing.T, seeds int, prepare, inspect func(*model)) {
 	t.Helper()
@@ -89,6 +96,8 @@
 	config     *work.Config
 	// maxListedEnds is how many ends a target lists in one reply, 0 for all.
 	maxListedEnds int
+	// recordLimit is how many bytes the store takes in a record, 0 if it has no limit.
+	recordLimit int
 	// crashes holds the items that crash their targets, if the history has any.
 	crashes *modelCrashes
 	// capacity changes the capacities of targets, if that is enabled.
--- a/sched/modelholder_test.go
+++ b/sched/modelholder_test.go
@@ -47,19 +47,21 @@
 	if m.capacity.enabled {
 		bounds.ReportInterval, bounds.ContactTime = modelBeat, modelContact
 	}
-	h.table = New(bounds, WithToken(h.epoch, m.now))
+	h.table = New(bounds, WithToken(h.epoch, m.now), WithRecordLimit(m.recordLimit))
 	h.table.Configure(m.config)
-	for _, j := range m.jobs {
-		var p *work.JobProgress
-		if value, ok := m.store[string(j.ID)]; ok {
-			p = &work.JobProgress{}
-			if err := work.Decode(value, p); err != nil {
-				m.reportViolation("record of %s: %v", j.ID, err)
-			}
+	stored := NewProgressSet()
+	for key, value := range m.store {
+		if _, err := stored.Add(key, value, 0); err != nil {
+			m.reportViolation("record of %s: %v", key, err)
 		}
+	}
+	for _, j := range m.jobs {
+		p := stored.Job(j.ID)
 		if m.retention.load(h, j, p) {
 			h.table.LoadJob(j, p, m.now)
+			continue
 		}
+		h.table.RemoveRecords(stored.Sections(j.ID))
 	}
 	m.retention.takeOver(h)
 	m.schedule(m.randomDuration(50*time.Millisecond, 500*time.Millisecond), h.plan)
@@ -117,25 +119,50 @@
 		return
 	}
 	h.flushing = true
+	if first := h.drawFirstPart(b); first > 0 {
+		h.write(b.Entries[:first], func() { h.write(b.Entries[first:], func() { h.written(b) }) })
+		return
+	}
+	h.write(b.Entries, func() { h.written(b) })
+}
+
+// drawFirstPart draws how many of a batch's entries are written before the others, so that a takeover may find a part of them; 0 if all are written at once.
+func (h *modelHolder) drawFirstPart(b *Batch) int {
+	if h.recordLimit == 0 || len(b.Entries) < 2 || h.now > modelFaultPeriod {
+		return 0
+	}
+	return h.Intn(len(b.Entries))
+}
+
+// write has the store apply entries, and goes on once they are written.
+func (h *modelHolder) write(entries []Entry, then func()) {
 	h.schedule(h.capacity.flushDelay(h.model), func() {
 		if h.epoch < h.model.epoch {
 			// The store rejects writes with an older fencing token.
 			h.alive = false
 			return
 		}
-		for _, e := range b.Entries {
+		for _, e := range entries {
+			if size := 1 + len(e.Key) + len(e.Value); h.recordLimit > 0 && size > h.recordLimit {
+				h.reportViolation("record %s has %d bytes, the limit is %d", e.Key, size, h.recordLimit)
+			}
 			if e.Value == nil {
 				delete(h.store, e.Key)
 				continue
 			}
 			h.store[e.Key] = e.Value
 		}
-		h.schedule(h.randomDuration(time.Millisecond, 20*time.Millisecond), func() {
-			h.flushing = false
-			h.table.Flushed(b)
-			h.dispatch(b.Orders)
-			h.cancels.flushed(h, b)
-		})
+		then()
+	})
+}
+
+// written has the holder learn, some time later, that a batch is written.
+func (h *modelHolder) written(b *Batch) {
+	h.schedule(h.randomDuration(time.Millisecond, 20*time.Millisecond), func() {
+		h.flushing = false
+		h.table.Flushed(b)
+		h.dispatch(b.Orders)
+		h.cancels.flushed(h, b)
 	})
 }
 
--- a/sched/renew.go
+++ b/sched/renew.go
@@ -201,8 +201,10 @@
 			continue
 		}
 		if it := t.findItem(e.Item); it != nil && it.state == itemOrdered && it.target == tgt && it.run == e.Run {
+			it.noteEnd(tgt, e.Sequence)
 			t.applyEnd(it, e.Outcome, e.Checkpoint, now)
 		} else if it != nil && it.state != itemEnded && e.Outcome == work.RunDone && e.Run <= it.run {
+			it.noteEnd(tgt, e.Sequence)
 			t.completeAfterRequeue(it, now)
 		}
 	}
--- a/sched/script_test.go
+++ b/sched/script_test.go
@@ -86,20 +86,18 @@
 	if len(waveHosts) > 0 && waveHosts[0] != "" {
 		sr.table.AddWave(work.Wave{Number: 1, Hosts: waveHosts, DeadlineS: 20, MaxConcurrent: 1}, sr.now)
 	}
-	for _, j := range sr.jobs {
-		var progress *work.JobProgress
-		if value, ok := sr.store[string(j.ID)]; ok {
-			progress = &work.JobProgress{}
-			sr.is.NoErr(work.Decode(value, progress))
-		}
-		sr.table.LoadJob(j, progress, sr.now)
-	}
+	stored := NewProgressSet()
 	var keys []string
-	for k := range sr.store {
-		if !IsJobKey(k) {
+	for k, value := range sr.store {
+		isProgress, err := stored.Add(k, value, 0)
+		sr.is.NoErr(err)
+		if !isProgress {
 			keys = append(keys, k)
 		}
 	}
+	for _, j := range sr.jobs {
+		sr.table.LoadJob(j, stored.Job(j.ID), sr.now)
+	}
 	sort.Strings(keys)
 	for _, k := range keys {
 		sr.is.NoErr(sr.table.LoadHostOrWave(k, sr.store[k]))
--- a/sched/table.go
+++ b/sched/table.go
@@ -1,7 +1,6 @@
 package sched
 
 import (
-	"fmt"
 	"sort"
 	"time"
 
@@ -230,11 +229,6 @@
 	if j.invalid {
 		return true
 	}
-	if size := t.MaxProgressBytes(record); t.recordLimit > 0 && size > t.recordLimit {
-		// A process that stored the job without the holder could not tell.
-		t.SetAsideJob(record, fmt.Sprintf("progress may take %d bytes in a record of %d", size, t.recordLimit), now)
-		return true
-	}
 	t.rememberRefusal(j, now)
 	t.ensurePool(j.queue.Pool).addArrivalOf(record, func(step int) float64 { return t.meanMs(j, step) }, t.arrivedAt(record, now), now)
 	return true
--- a/work/record.go
+++ b/work/record.go
@@ -10,10 +10,18 @@
 	_         struct{} `cbor:",toarray"`
 	State     State
 	Cancelled bool
-	// Items holds every item that is no longer in its initial state, in no particular order.
+	// Items holds every item that is no longer in its initial state, in no particular order. In the stored record those are left out that a ProgressSection holds.
 	Items []ItemProgress
 	// EndedMs is when the job reached a final state, in milliseconds since the Unix epoch.
 	EndedMs int64
+	// Sections holds the numbers of the ProgressSections whose items Items includes; it is not stored.
+	Sections []int `cbor:"-"`
+}
+
+// ProgressSection is a part of the stored progress of a job with many items; the store keeps the newest record of each section.
+type ProgressSection struct {
+	_     struct{} `cbor:",toarray"`
+	Items []ItemProgress
 }
 
 // ItemProgress is the stored progress of a work item.
