Send the orders for a target beside each other

Cause: a driver sent the orders for its target one after the other, each once the one before was answered (6.7 ms each in the log of the ends), and waited 150 ms after each order without an answer. Stops also waited for a start without an answer.

Change: package outbox decides what is sent next. Stops wait for no order but those for the same item, and as many orders are under way as it takes to send the waiting ones within 100 ms, within a target's 64 connections. An order without an answer waits by itself.

The variants of the models with cancellations run in parallel, to make up for the new one with several orders at once.

--- a/agent/driver.go
+++ b/agent/driver.go
@@ -2,13 +2,13 @@
 
 import (
 	"errors"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
 
+	"lavenderwing.example/lavenderwing/outbox"
 	"lavenderwing.example/lavenderwing/platform"
 	"lavenderwing.example/lavenderwing/sched"
 	"lavenderwing.example/lavenderwing/work"
@@ -26,8 +26,6 @@
 	trialRenewPause = 60 * time.Millisecond
 	// orderTimeout bounds the wait for the reply to an order, which usually takes a few milliseconds. It is also how much longer than its poll a renewal may take.
 	orderTimeout = 400 * time.Millisecond
-	// orderRetryPause is the pause after an order without a reply, before the next queued order is sent.
-	orderRetryPause = 150 * time.Millisecond
 	// renewRetryPause is the pause after a renewal without a reply, and between checks of whether the holder may renew leases again.
 	renewRetryPause = 300 * time.Millisecond
 	// minOrderLatency keeps orders from being repeated because this process was too busy to read an answer.
@@ -38,12 +36,14 @@
 	maxIdleWait = 5 * time.Second
 )
 
-// driver calls one target. It renews the target's lease over one connection and sends orders over a second one, so that a polling renewal does not delay them.
+// driver calls one target. It renews the target's lease over one connection and sends orders over others, so that a polling renewal does not delay them, and no order waits for the reply to another one for long.
 type driver struct {
-	holder    *Holder
-	id        work.TargetID
-	address   string
-	client    *platform.TargetClient
+	holder  *Holder
+	id      work.TargetID
+	address string
+	client  *platform.TargetClient
+	// burst is for orders beside the first of their class.
+	burst     *platform.TargetClient
 	done      chan struct{}
 	closeOnce sync.Once
 	// renewNow wakes renewLoop while the target is idle, when an order is queued or the target has reported itself to the store.
@@ -53,16 +53,15 @@
 	lossyUntil atomic.Int64
 
 	mu     sync.Mutex
-	orders []sched.Order
-	// requeued means that the last order got no valid reply and was queued again.
-	requeued     bool
-	ordersQueued chan struct{}
+	orders *outbox.Queue
+	// ordersChanged wakes sendLoop when orders were queued or one has ended.
+	ordersChanged chan struct{}
 }
 
 func newDriver(h *Holder, id work.TargetID, address string) *driver {
 	return &driver{
-		holder: h, id: id, address: address, client: platform.NewTargetClient(id, address),
-		done: make(chan struct{}), renewNow: make(chan struct{}, 1), ordersQueued: make(chan struct{}, 1),
+		holder: h, id: id, address: address, client: platform.NewTargetClient(id, address), burst: platform.NewBurstClient(id, address),
+		done: make(chan struct{}), renewNow: make(chan struct{}, 1), orders: outbox.New(), ordersChanged: make(chan struct{}, 1),
 	}
 }
 
@@ -75,15 +74,16 @@
 	d.closeOnce.Do(func() {
 		close(d.done)
 		d.client.Close()
+		d.burst.Close()
 	})
 }
 
 // enqueue queues an order for the target.
 func (d *driver) enqueue(o sched.Order) {
 	d.mu.Lock()
-	d.orders = append(d.orders, o)
+	d.orders.Push(o, d.holder.agent.clock.Now())
 	d.mu.Unlock()
-	signal(d.ordersQueued)
+	signal(d.ordersChanged)
 	signal(d.renewNow)
 }
 
@@ -217,35 +217,77 @@
 	return true
 }
 
-// sendLoop sends the queued orders one after the other.
+// sendLoop sends the queued orders as package outbox says.
 func (d *driver) sendLoop() {
+	retry := newEarliestTimer()
+	defer retry.stop()
 	for {
-		o, ok := d.nextOrder()
-		if !ok {
-			select {
-			case <-d.done:
-				return
-			case <-d.ordersQueued:
-			}
-			continue
+		if wait, waits := d.sendQueued(); waits {
+			retry.set(wait)
 		}
 		select {
 		case <-d.done:
 			return
+		case <-d.ordersChanged:
+		case <-retry.C():
+			retry.markFired()
+		}
+	}
+}
+
+// sendQueued begins to send the orders that may be sent now, and returns how long the next one waits for its repetition, if any does.
+func (d *driver) sendQueued() (time.Duration, bool) {
+	h := d.holder
+	for {
+		select {
+		case <-d.done:
+			return 0, false
 		default:
 		}
-		if sent, err := d.sendOrder(o); err != nil {
-			d.requeueOrder(sent, err)
-			if !d.pause(orderRetryPause) {
-				return
-			}
+		now := h.agent.clock.Now()
+		d.mu.Lock()
+		s, ok := d.orders.Next(now, h.reserveBurst)
+		if !ok {
+			next, waits := d.orders.NextRetry(now)
+			d.mu.Unlock()
+			return next - now, waits
 		}
+		d.mu.Unlock()
+		h.agent.meters.orderWait.RecordDuration(s.Waited)
+		go d.send(s)
+	}
+}
+
+// send sends one order and queues it again if it gets no valid reply.
+func (d *driver) send(s outbox.Sending) {
+	h := d.holder
+	client := d.client
+	if s.Extra {
+		client = d.burst
+		defer h.releaseBurst()
+	}
+	defer signal(d.ordersChanged)
+	began := h.agent.clock.Now()
+	sent, needed, err := d.sendOrder(s.Order, client)
+	took := h.agent.clock.Now() - began
+	if err != nil {
+		d.recordUnanswered(sent, err)
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	switch {
+	case err != nil:
+		d.orders.Unanswered(s, sent, took, h.agent.clock.Now())
+	case needed:
+		d.orders.Answered(s, took)
+	default:
+		d.orders.Dropped(s)
 	}
 }
 
 // startRun orders a run. An attempt that stays unanswered may still be delivered to a later incarnation of the target.
-func (d *driver) startRun(o sched.StartOrder) (work.OrderReply, error) {
-	attempts := &startAttempts{driver: d, order: o}
+func (d *driver) startRun(o sched.StartOrder, client *platform.TargetClient) (work.OrderReply, error) {
+	attempts := &startAttempts{driver: d, client: client, order: o}
 	reply, made, err := d.hedge(attempts.call)
 	if made > 1 {
 		d.lossyUntil.Store(int64(d.holder.agent.clock.Now() + lossyPeriod))
@@ -269,6 +311,7 @@
 // startAttempts counts the attempts of one start that the target has answered, and those that were certainly not sent.
 type startAttempts struct {
 	driver *driver
+	client *platform.TargetClient
 	order  sched.StartOrder
 
 	mu       sync.Mutex
@@ -280,7 +323,7 @@
 
 // call makes one attempt. If its answer is the last that was missing, the table forgets that any was.
 func (s *startAttempts) call() (work.OrderReply, error) {
-	reply, err := s.driver.client.StartRun(s.order.Start, orderTimeout)
+	reply, err := s.client.StartRun(s.order.Start, orderTimeout)
 	if err != nil && !isUnsent(err) {
 		return reply, err
 	}
@@ -334,36 +377,15 @@
 	}, func(error) bool { return false })
 }
 
-// nextOrder returns the next order to send: the first stop or, if there is none, the first of the others, so that no stop waits for starts without answers. After an order without a valid reply it returns the first order of all, so that stops without one do not keep the others from being sent.
-func (d *driver) nextOrder() (sched.Order, bool) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if len(d.orders) == 0 {
-		return nil, false
-	}
-	n := 0
-	if !d.requeued {
-		n = max(slices.IndexFunc(d.orders, isStop), 0)
-	}
-	d.requeued = false
-	o := d.orders[n]
-	d.orders = slices.Delete(d.orders, n, n+1)
-	return o, true
-}
-
-func isStop(o sched.Order) bool {
-	_, stop := o.(sched.StopOrder)
-	return stop
-}
-
-// requeueOrder records that an order got no valid reply and queues it again behind the other orders; sendOrder drops it if it is no longer needed by then.
-func (d *driver) requeueOrder(o sched.Order, err error) {
+// recordUnanswered has the table note that an order got no valid reply.
+func (d *driver) recordUnanswered(o sched.Order, err error) {
 	h := d.holder
 	var status *platform.UnexpectedStatusError
 	if errors.As(err, &status) {
 		h.agent.log.Error("target sent an unexpected reply", zap.String("target", string(d.id)), zap.Error(err))
 	}
 	h.mu.Lock()
+	defer h.mu.Unlock()
 	start, isStart := o.(sched.StartOrder)
 	switch {
 	case isStart && isUnsent(err):
@@ -373,14 +395,10 @@
 	default:
 		h.table.CallUnanswered(d.id, h.agent.clock.Now())
 	}
-	h.mu.Unlock()
-	d.mu.Lock()
-	d.orders, d.requeued = append(d.orders, o), true
-	d.mu.Unlock()
 }
 
-// sendOrder sends one order unless it is no longer needed, and applies the target's reply. It returns the order as it was sent.
-func (d *driver) sendOrder(o sched.Order) (sched.Order, error) {
+// sendOrder sends one order unless it is no longer needed, and applies the target's reply. It returns the order as it was sent, and whether it was needed.
+func (d *driver) sendOrder(o sched.Order, client *platform.TargetClient) (sched.Order, bool, error) {
 	h := d.holder
 	now := h.agent.clock.Now()
 	h.mu.Lock()
@@ -393,7 +411,7 @@
 	if !needed {
 		// The item of a withdrawn start waits for another target.
 		h.wakeLoop()
-		return o, nil
+		return o, false, nil
 	}
 	if isStart {
 		o = start
@@ -402,16 +420,17 @@
 	var err error
 	switch o := o.(type) {
 	case sched.StartOrder:
-		reply, err = d.startRun(start)
+		reply, err = d.startRun(start, client)
 		h.agent.meters.starts.Inc(1)
 	case sched.StopOrder:
-		reply, _, err = d.hedge(func() (work.OrderReply, error) { return d.client.StopRun(o.Item, o.Run, h.epoch, orderTimeout) })
+		reply, _, err = d.hedge(func() (work.OrderReply, error) { return client.StopRun(o.Item, o.Run, h.epoch, orderTimeout) })
+		h.agent.meters.stops.Inc(1)
 	case sched.PaceOrder:
 		// A pace is not repeated, because an earlier one that arrives late would undo a later one.
-		reply, err = d.client.Throttle(o.Item, o.Run, o.Percent, h.epoch, orderTimeout)
+		reply, err = client.Throttle(o.Item, o.Run, o.Percent, h.epoch, orderTimeout)
 	}
 	if err != nil {
-		return o, err
+		return o, true, err
 	}
 	d.applyReply("answer to an order", func() {
 		now = h.agent.clock.Now()
@@ -431,5 +450,5 @@
 	if reply.Status != work.OrderDone {
 		h.wakeLoop()
 	}
-	return o, nil
+	return o, true, nil
 }
--- a/agent/driver_test.go
+++ b/agent/driver_test.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -9,6 +10,7 @@
 	"github.com/valyala/fasthttp"
 
 	"lavenderwing.example/lavenderwing/fake"
+	"lavenderwing.example/lavenderwing/outbox"
 	"lavenderwing.example/lavenderwing/platform"
 	"lavenderwing.example/lavenderwing/sched"
 	"lavenderwing.example/lavenderwing/work"
@@ -30,26 +32,78 @@
 	defer close(lost)
 	_, h := newTestAgent(t)
 	d := newDriver(h, "i-1", address)
-	reply, err := d.startRun(sched.StartOrder{Target: "i-1", Start: work.StartRequest{Run: 1, FencingToken: 1}})
+	reply, err := d.startRun(sched.StartOrder{Target: "i-1", Start: work.StartRequest{Run: 1, FencingToken: 1}}, d.client)
 	is.NoErr(err)
 	is.Equal(reply.Status, work.OrderDone)
 	is.True(attempts.Load() >= 2)
 	is.True(d.lossyUntil.Load() > 0) // renewals poll shortly for a while
 }
 
-// TestStopsAreSentBeforeStarts guards against runs of cancelled jobs that go on because their stops wait behind starts without answers.
-func TestStopsAreSentBeforeStarts(t *testing.T) {
+// slowTarget answers the orders to a target each after a while, and keeps starts without an answer until it is closed. It counts the stops and how many of them it has had at the same time.
+type slowTarget struct {
+	answerTime   time.Duration
+	closed       chan struct{}
+	stops        atomic.Int64
+	startsWaited atomic.Int64
+
+	mu        sync.Mutex
+	now, most int
+}
+
+func (s *slowTarget) serve(ctx *fasthttp.RequestCtx) {
+	if string(ctx.Path()) == "/run-start" {
+		s.startsWaited.Add(1)
+		<-s.closed
+		return
+	}
+	s.mu.Lock()
+	s.now++
+	s.most = max(s.most, s.now)
+	s.mu.Unlock()
+	time.Sleep(s.answerTime)
+	s.mu.Lock()
+	s.now--
+	s.mu.Unlock()
+	s.stops.Add(1)
+	ctx.SetBodyString(`{"clock_ms":5}`)
+}
+
+// TestStopsDoNotWaitForEachOther guards against runs of cancelled jobs that go on because the stops for one target are sent one after the other, each once the one before was answered, and against stops that wait for a start without an answer.
+func TestStopsDoNotWaitForEachOther(t *testing.T) {
 	is := is.New(t)
+	target := &slowTarget{answerTime: 20 * time.Millisecond, closed: make(chan struct{})}
+	defer close(target.closed)
+	address := fake.LoopbackAddresses(1)[0]
+	startServer(t, is, address, target.serve)
 	_, h := newTestAgent(t)
-	d := newDriver(h, "i-1", "a")
-	for _, o := range []sched.Order{sched.StartOrder{Target: "1"}, sched.StopOrder{Target: "2"}, sched.PaceOrder{Target: "3"}, sched.StopOrder{Target: "4"}} {
+	h.table.Configure(&work.Config{Version: 1, Queues: []work.Queue{{Name: "q", Pool: "p"}}, Pools: []work.Pool{{Name: "p"}}})
+	h.table.UpsertTarget(work.Target{ID: "i-1", Pool: "p", Address: address, Capacity: work.Resources{CPU: 1000, MemMB: 100}, StartedMs: 2}, time.Second)
+	h.table.RenewalAnswered("i-1", work.RenewalReply{ClockMs: 1000, StartedMs: 2}, 0, time.Second, time.Second)
+	h.table.Accept(&work.Job{ID: "0000000000000001", Queue: "q", Steps: []work.Step{{Count: 1, Demand: work.Resources{CPU: 1, MemMB: 1}}}}, time.Second)
+	h.table.Plan(time.Second)
+	b, err := h.table.Flush(time.Second)
+	is.NoErr(err)
+	h.table.Flushed(b)
+	d := newDriver(h, "i-1", address)
+	go d.sendLoop()
+	defer d.close()
+	for _, o := range b.Orders {
 		d.enqueue(o)
 	}
-	var sent []work.TargetID
-	for o, ok := d.nextOrder(); ok; o, ok = d.nextOrder() {
-		sent = append(sent, sched.TargetOf(o))
+	for target.startsWaited.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	const count = 400
+	for n := range count {
+		d.enqueue(sched.StopOrder{Target: "i-1", Item: work.ItemID{Job: "0000000000000002", Index: n}, Run: 1})
+	}
+	for target.stops.Load() < count {
+		time.Sleep(time.Millisecond)
 	}
-	is.Equal(sent, []work.TargetID{"2", "4", "1", "3"})
+	target.mu.Lock()
+	defer target.mu.Unlock()
+	is.True(target.most > 20)                 // many at once
+	is.True(target.most <= outbox.MaxExtra+1) // but no more than the target takes
 }
 
 // TestReplyFromAFormerAddressDoesNotEndTheTarget guards against runs that are started elsewhere while they go on, because the process that has the target's former address answers a call that was meant for it.
@@ -74,13 +128,15 @@
 	is := is.New(t)
 	_, h := newTestAgent(t)
 	start := sched.StartOrder{Target: "i-1", Start: work.StartRequest{Run: 1, FencingToken: 1}}
-	_, err := newDriver(h, "i-1", fake.LoopbackAddresses(1)[0]).startRun(start)
+	absent := newDriver(h, "i-1", fake.LoopbackAddresses(1)[0])
+	_, err := absent.startRun(start, absent.client)
 	is.True(isUnsent(err)) // no process listens there
 	silent := fake.LoopbackAddresses(1)[0]
 	lost := make(chan struct{})
 	startServer(t, is, silent, func(*fasthttp.RequestCtx) { <-lost })
 	defer close(lost)
-	_, err = newDriver(h, "i-1", silent).startRun(start)
+	d := newDriver(h, "i-1", silent)
+	_, err = d.startRun(start, d.client)
 	is.True(err != nil && !isUnsent(err)) // the target may have carried it out
 	attempts := &startAttempts{unsent: 2}
 	is.True(attempts.maybeSent(3) && !attempts.maybeSent(2))
--- a/agent/holder.go
+++ b/agent/holder.go
@@ -58,6 +58,8 @@
 	cancel   context.CancelCauseFunc
 	ctx      context.Context
 	wake     chan struct{}
+	// bursts holds an element for each order that is under way beside the first of its class at its target.
+	bursts chan struct{}
 	// renewPause is the pause between a target's reply to a renewal and its next renewal, in nanoseconds.
 	renewPause atomic.Int64
 
@@ -76,6 +78,21 @@
 	directOffsets [directPartitions]int64
 }
 
+// maxBursts bounds the orders to all targets that are under way beside the first of their class at each, an eighth of the process's descriptors.
+const maxBursts = 512
+
+// reserveBurst reserves the connection of one more order to a target, and reports whether there is one left.
+func (h *Holder) reserveBurst() bool {
+	select {
+	case h.bursts <- struct{}{}:
+		return true
+	default:
+		return false
+	}
+}
+
+func (h *Holder) releaseBurst() { <-h.bursts }
+
 // DeposedError is the cause of an epoch's end if another process became the holder, or if this one resigned or is stopping.
 type DeposedError struct {
 	Cause string
@@ -91,6 +108,7 @@
 		table: sched.New(a.settings.Bounds, sched.WithToken(epoch, a.clock.Now()), sched.WithNode(a.settings.Node),
 			sched.WithPredecessor(a.predecessor), sched.WithProcessOrigin(a.clock.startWallMs),
 			sched.WithHostRate(a.settings.Cloud.ActionsPerS), sched.WithRecordLimit(a.settings.Store.RecordBytes), sched.WithFeatures(a.features)),
+		bursts:  make(chan struct{}, maxBursts),
 		drivers: map[work.TargetID]*driver{}, cancelWaiters: map[work.JobID][]chan struct{}{},
 	}
 	h.renewPause.Store(int64(minRenewPause))
--- a/agent/metrics.go
+++ b/agent/metrics.go
@@ -32,6 +32,7 @@
 	cloudCalls     tally.Counter
 	renewals       tally.Counter
 	starts         tally.Counter
+	stops          tally.Counter
 	panics         tally.Counter
 	removals       tally.Counter
 	backlog        tally.Gauge
@@ -40,7 +41,9 @@
 	isolated       tally.Gauge
 	evacuatedZones tally.Gauge
 	expectError    tally.Histogram
-	latency        [len(kindNames)]tally.Histogram
+	// orderWait is how long orders for targets have waited until they were sent.
+	orderWait tally.Histogram
+	latency   [len(kindNames)]tally.Histogram
 
 	mu        sync.Mutex
 	decisions map[string]tally.Counter
@@ -66,11 +69,11 @@
 	m := &meters{
 		scope: scope, page: page,
 		storeReads: scope.Counter("store_reads"), storeWrites: scope.Counter("store_writes"), storeErrors: scope.Counter("store_errors"),
-		cloudCalls: scope.Counter("cloud_calls"), renewals: scope.Counter("target_renewals"), starts: scope.Counter("starts"), panics: scope.Counter("panics"),
+		cloudCalls: scope.Counter("cloud_calls"), renewals: scope.Counter("target_renewals"), starts: scope.Counter("starts"), stops: scope.Counter("stops"), panics: scope.Counter("panics"),
 		removals: scope.Counter("jobs_removed"), backlog: scope.Gauge("removal_backlog"),
 		epoch: scope.Gauge("holder_epoch"), version: scope.Gauge("config_version"), isolated: scope.Gauge("isolated"), evacuatedZones: scope.Gauge("evacuated_zones"),
-		expectError: scope.Histogram("expectation_error", errorBuckets),
-		evictions:   scope.Counter("evictions"), evictedCoreSeconds: scope.Gauge("evicted_core_seconds"),
+		expectError: scope.Histogram("expectation_error", errorBuckets), orderWait: scope.Histogram("order_wait", latencyBuckets),
+		evictions: scope.Counter("evictions"), evictedCoreSeconds: scope.Gauge("evicted_core_seconds"),
 		decisions: map[string]tally.Counter{}, refusals: map[int]tally.Counter{}, shed: map[shed.Reason]tally.Counter{}, stored: map[string]*storedTopic{},
 	}
 	for i, name := range kindNames {
--- a/sched/job.go
+++ b/sched/job.go
@@ -34,6 +34,8 @@
 	// confirmed means that the target has answered the start or reported the run in a renewal reply.
 	confirmed   bool
 	confirmedAt time.Duration
+	// listedIn is the number of the target's last renewal reply that lists the run.
+	listedIn int64
 	// doubtful means that the answer to the start may have come from a later incarnation of the target than the one that it was sent to.
 	doubtful  bool
 	orderedAt time.Duration
--- a/sched/lease.go
+++ b/sched/lease.go
@@ -18,8 +18,8 @@
 	expiresAt time.Duration
 }
 
-// maxLeaseCalls is how many calls with a lease are under way at most: a renewal and a start, from this driver and from one that it has replaced. Further ones are not going to end any more.
-const maxLeaseCalls = 4
+// maxLeaseCalls bounds the calls with a lease that are under way, above the renewal and the starts that a target gets at once. Earlier ones beyond it are not going to end any more.
+const maxLeaseCalls = 64
 
 // maxUnansweredExtension is by how much calls that follow an unanswered one may extend the lease beyond the last call before it. It is a fifth of a lease, so that the loss of a few answers ends no lease, and well below the 3 s within which lost work has to run again (docs/WORKPLAN.md, rule 4).
 const maxUnansweredExtension = time.Second
--- a/sched/modelcancel_test.go
+++ b/sched/modelcancel_test.go
@@ -41,6 +41,8 @@
 	staleHosts, hiddenHosts, downHosts bool
 	// longCuts has cuts last from 6 to 20 s, in which a call is certainly not sent, lost, or carried out late without an answer, during the cut or after it. Some runs outlast their leases. An incarnation that the sender of a call does not know carries no late one out and grants no lease, because by the platform's pages it answers that it is not meant.
 	longCuts bool
+	// senders is how many orders to one target are under way at most, 0 for one.
+	senders int
 	// slowEntries has the store's entries read late, and the newest ones again at times.
 	slowEntries bool
 
@@ -81,6 +83,16 @@
 	})
 }
 
+// TestCancelledJobsDoNotRunOnBesideOrdersAtOnce guards against the same when several orders to a target are under way, whose answers overtake each other.
+func TestCancelledJobsDoNotRunOnBesideOrdersAtOnce(t *testing.T) {
+	playVariants(t, []cancelVariant{
+		{"restarts", func(m *model) { m.cancels.senders = 3 }},
+		{"unhealthy", func(m *model) { m.cancels.senders, m.cancels.unhealthy, m.cancels.lateRenewals = 3, true, true }},
+		{"cuts", func(m *model) { m.cancels.senders, m.cancels.longCuts, m.cancels.lateRenewals = 5, true, true }},
+		{"deadly", func(m *model) { m.cancels.senders, m.crashes.enabled = 3, true }},
+	})
+}
+
 // TestCancelledJobsDoNotRunOnBesideOldHostLists guards against the same when host lists are up to a second old, or lack targets that are cut off.
 func TestCancelledJobsDoNotRunOnBesideOldHostLists(t *testing.T) {
 	playVariants(t, []cancelVariant{
@@ -108,7 +120,10 @@
 func playVariants(t *testing.T, variants []cancelVariant) {
 	t.Helper()
 	for _, v := range variants {
-		t.Run(v.name, func(t *testing.T) { playCancels(t, v.enable) })
+		t.Run(v.name, func(t *testing.T) {
+			t.Parallel()
+			playCancels(t, v.enable)
+		})
 	}
 }
 
--- a/sched/modeldriver_test.go
+++ b/sched/modeldriver_test.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"slices"
 	"time"
 
 	"lavenderwing.example/lavenderwing/work"
@@ -22,6 +23,8 @@
 	target *modelTarget
 	orders []Order
 	closed bool
+	// underWay holds the items of which an order is under way.
+	underWay map[work.ItemID]bool
 	// idle counts the waits of an idle driver and is odd during one; woken means that a wake came while the driver was not idle.
 	idle  int
 	woken bool
@@ -33,10 +36,12 @@
 	for _, w := range h.table.Targets() {
 		wanted[w.ID] = true
 		if h.drivers[w.ID] == nil {
-			d := &modelDriver{modelHolder: h, target: h.findTarget(w.ID)}
+			d := &modelDriver{modelHolder: h, target: h.findTarget(w.ID), underWay: map[work.ItemID]bool{}}
 			h.drivers[w.ID] = d
 			h.schedule(0, d.renewLoop)
-			h.schedule(0, d.sendLoop)
+			for range max(h.cancels.senders, 1) {
+				h.schedule(0, d.sendLoop)
+			}
 		}
 	}
 	for id, d := range h.drivers {
@@ -219,23 +224,55 @@
 	if d.ended() {
 		return
 	}
-	if len(d.orders) == 0 {
+	n := d.nextOrder()
+	if n < 0 {
 		d.schedule(10*time.Millisecond, d.sendLoop)
 		return
 	}
-	o := d.orders[0]
-	d.orders = d.orders[1:]
+	o := d.orders[n]
+	d.orders = slices.Delete(slices.Clone(d.orders), n, n+1)
+	d.underWay[ItemOf(o)] = true
 	needed := d.table.StillNeeded(o)
 	if s, ok := o.(StartOrder); ok && needed {
 		o, needed = d.table.PrepareStart(s, d.now)
 	}
 	if !needed {
-		d.schedule(0, d.sendLoop)
+		d.schedule(0, d.sendNext(o))
 		return
 	}
 	d.sendOrder(o)
 }
 
+// nextOrder returns the index of the next order to send, -1 if there is none: the first one or, with several senders, the first stop or else the first other order for an item of which none is under way. A stop of the item that waits goes first.
+func (d *modelDriver) nextOrder() int {
+	if d.cancels.senders <= 1 {
+		return min(len(d.orders), 1) - 1
+	}
+	isStop := func(o Order) bool {
+		_, stop := o.(StopOrder)
+		return stop
+	}
+	stopWaits := map[work.ItemID]bool{}
+	for n, o := range d.orders {
+		if !isStop(o) {
+			continue
+		}
+		if !d.underWay[ItemOf(o)] {
+			return n
+		}
+		stopWaits[ItemOf(o)] = true
+	}
+	return slices.IndexFunc(d.orders, func(o Order) bool { return !isStop(o) && !d.underWay[ItemOf(o)] && !stopWaits[ItemOf(o)] })
+}
+
+// sendNext goes on after an order has ended.
+func (d *modelDriver) sendNext(o Order) func() {
+	return func() {
+		delete(d.underWay, ItemOf(o))
+		d.sendLoop()
+	}
+}
+
 // sendOrder makes one attempt of an order, or one that is carried out late and half of the time a second one that is not.
 func (d *modelDriver) sendOrder(o Order) {
 	if d.drawsUnsent() {
@@ -249,9 +286,9 @@
 	}
 	switch {
 	case !late:
-		d.callNow(d.target, o, false, unanswered, d.sendLoop)
+		d.callNow(d.target, o, false, unanswered, d.sendNext(o))
 	case d.Intn(2) == 0:
-		d.schedule(modelHedgeDelay, func() { d.callNow(d.target, o, true, unanswered, d.sendLoop) })
+		d.schedule(modelHedgeDelay, func() { d.callNow(d.target, o, true, unanswered, d.sendNext(o)) })
 	default:
 		unanswered()
 	}
@@ -263,7 +300,7 @@
 	}
 	d.table.CallUnanswered(d.target.id, d.now)
 	d.orders = append(d.orders, o)
-	d.schedule(modelOrderRetry, d.sendLoop)
+	d.schedule(modelOrderRetry, d.sendNext(o))
 }
 
 func (d *modelDriver) orderUnanswered(o Order) {
@@ -272,7 +309,7 @@
 	}
 	d.table.CallUnanswered(d.target.id, d.now)
 	d.orders = append(d.orders, o)
-	d.schedule(modelOrderRetry, d.sendLoop)
+	d.schedule(modelOrderRetry, d.sendNext(o))
 }
 
 // isLate draws whether a call gets no answer and is carried out late.
--- a/sched/order.go
+++ b/sched/order.go
@@ -3,7 +3,10 @@
 import "lavenderwing.example/lavenderwing/work"
 
 // Order is an order for a target: a StartOrder, StopOrder or PaceOrder.
-type Order interface{ target() work.TargetID }
+type Order interface {
+	target() work.TargetID
+	item() work.ItemID
+}
 
 // StartOrder starts a run; its lease is added when it is sent.
 type StartOrder struct {
@@ -35,5 +38,12 @@
 func (o StopOrder) target() work.TargetID  { return o.Target }
 func (o PaceOrder) target() work.TargetID  { return o.Target }
 
+func (o StartOrder) item() work.ItemID { return o.Start.Item }
+func (o StopOrder) item() work.ItemID  { return o.Item }
+func (o PaceOrder) item() work.ItemID  { return o.Item }
+
+// ItemOf returns the item that an order is for.
+func ItemOf(o Order) work.ItemID { return o.item() }
+
 // TargetOf returns the target that an order is for.
 func TargetOf(o Order) work.TargetID { return o.target() }
--- a/sched/renew.go
+++ b/sched/renew.go
@@ -215,7 +215,7 @@
 	tgt.orphanUsage = work.Resources{}
 	former := tgt.unexpected
 	tgt.unexpected = nil
-	present := make([]*item, 0, len(reply.Running))
+	tgt.replies++
 	for i := range reply.Running {
 		r := &reply.Running[i]
 		it := t.findItem(r.Item)
@@ -223,17 +223,16 @@
 			t.adopt(it, tgt, now)
 		}
 		if it == nil || it.state != itemOrdered || it.target != tgt || it.run != r.Run {
-			t.noteUnexpected(tgt, r, it, former)
-			t.orders = append(t.orders, StopOrder{Target: tgt.ID, Item: r.Item, Run: r.Run})
+			t.stopUnexpected(tgt, r, it, former, now)
 			continue
 		}
 		t.updateRun(it, r, now)
-		present = append(present, it)
+		it.listedIn = tgt.replies
 	}
 	for n := 0; n < len(tgt.runs); {
 		it := tgt.runs[n]
 		t.repeatStop(it, now)
-		if !reply.MoreEnds && t.mustBeListed(it, sent) && !contains(present, it) {
+		if !reply.MoreEnds && t.mustBeListed(it, sent) && it.listedIn != tgt.replies {
 			t.logEvent("lost", it.id.String(), string(tgt.ID), "not in the renewal reply")
 			t.loseRun(it, now)
 			continue
@@ -250,17 +249,22 @@
 	}
 }
 
-// noteUnexpected counts an unexpected run against the target's capacity, and logs it unless the reply before showed it too.
-func (t *Table) noteUnexpected(tgt *target, r *work.ActiveRun, it *item, former map[runKey]bool) {
+// stopUnexpected counts an unexpected run against the target's capacity and orders its stop, which is repeated after stopRepeatInterval while replies show the run. The run is logged unless the reply before showed it too.
+func (t *Table) stopUnexpected(tgt *target, r *work.ActiveRun, it *item, former map[runKey]time.Duration, now time.Duration) {
 	tgt.orphanUsage = tgt.orphanUsage.Add(t.reservation(r.Item, tgt))
 	key := runKey{r.Item, r.Run}
 	if tgt.unexpected == nil {
-		tgt.unexpected = map[runKey]bool{}
+		tgt.unexpected = map[runKey]time.Duration{}
 	}
-	tgt.unexpected[key] = true
-	if !former[key] {
+	stoppedAt, known := former[key]
+	if !known {
 		t.logEvent("unexpected", r.Item.String(), string(tgt.ID), fmt.Sprintf("run=%d %s", r.Run, t.describe(r.Item, it)))
 	}
+	if !known || now-stoppedAt >= stopRepeatInterval {
+		t.orders = append(t.orders, StopOrder{Target: tgt.ID, Item: r.Item, Run: r.Run})
+		stoppedAt = now
+	}
+	tgt.unexpected[key] = stoppedAt
 }
 
 // describe says what this holder believes of an item.
@@ -288,15 +292,6 @@
 	return (it.confirmed && it.confirmedAt < sent) || (it.stopping && it.stopConfirmedAt > 0 && it.stopConfirmedAt < sent)
 }
 
-func contains(items []*item, it *item) bool {
-	for _, other := range items {
-		if other == it {
-			return true
-		}
-	}
-	return false
-}
-
 // updateRun applies a run's state in a renewal reply.
 func (t *Table) updateRun(it *item, r *work.ActiveRun, now time.Duration) {
 	if !it.seen() {
--- a/sched/target.go
+++ b/sched/target.go
@@ -28,8 +28,10 @@
 	// busyUntil is when the last of the items that were started here is expected to end, by learned run times.
 	busyUntil time.Duration
 	runs      []*item
-	// unexpected holds the runs in the last renewal reply that this holder does not expect on the target.
-	unexpected map[runKey]bool
+	// unexpected holds the runs in the last renewal reply that this holder does not expect on the target, and when their stops were last ordered.
+	unexpected map[runKey]time.Duration
+	// replies counts the renewal replies whose runs were applied.
+	replies int64
 	// orphanUsage is the total charge of runs in the last renewal reply that this holder does not expect on the target.
 	orphanUsage work.Resources
 	// clockMs is the target's clock in its last answer, which came at clockAt.
@@ -143,6 +145,7 @@
 func (t *target) charge(it *item) {
 	t.used = t.used.Add(it.step.spec.Reservation())
 	t.runs = append(t.runs, it)
+	it.listedIn = 0
 }
 
 // release removes a run and its charge from the target.
