Allocate the items of a job when they are needed

Cause: all items of all steps of a job were allocated when it was accepted or loaded, 1.6 MB for 4991 items, also those of steps whose turn had not come and those that found no room.

Change: a step allocates an item when it is first needed and counts the others as waiting.

--- a/sched/ends.go
+++ b/sched/ends.go
@@ -75,7 +75,7 @@
 
 // completeGang ends the other items of a gang, because the success of one completes them all.
 func (t *Table) completeGang(s *step, now time.Duration) {
-	for _, other := range s.items {
+	for other := range s.all() {
 		if other.state == itemEnded {
 			continue
 		}
--- a/sched/evacuate.go
+++ b/sched/evacuate.go
@@ -44,8 +44,8 @@
 
 // countUnavailable counts the step's items that are not at full speed or are about to be evicted.
 func (t *Table) countUnavailable(s *step) int {
-	n := 0
-	for _, it := range s.items {
+	n := s.spec.Count - s.touched
+	for it := range s.known() {
 		if it.state != itemOrdered || !it.atFullSpeed || it.stopping || it.target.unreachable || it.target.hostOrderIssued {
 			n++
 		}
--- a/sched/evict.go
+++ b/sched/evict.go
@@ -56,8 +56,8 @@
 
 // countStartable counts the step's waiting items that could be started if there were room.
 func (t *Table) countStartable(s *step, now time.Duration) int {
-	n := 0
-	for _, it := range s.items {
+	n := s.spec.Count - s.touched
+	for it := range s.known() {
 		if it.state == itemWaiting && now >= it.notBefore && it.delayedStartTarget == nil {
 			n++
 		}
--- a/sched/host.go
+++ b/sched/host.go
@@ -274,7 +274,7 @@
 		return false
 	}
 	unavailable := t.countUnavailable(s)
-	for _, it := range s.items {
+	for it := range s.known() {
 		if it.target == tgt && it.atFullSpeed && !it.stopping && !tgt.unreachable && !tgt.hostOrderIssued {
 			unavailable++
 		}
--- a/sched/job.go
+++ b/sched/job.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"iter"
 	"time"
 
 	"lavenderwing.example/lavenderwing/blame"
@@ -87,7 +88,9 @@
 	job        *job
 	occurrence *occurrence
 	index      int
-	items      []*item
+	// items holds those items of the step that have been needed so far, by their indexes, nil while there are none; the others wait for their first run. touched counts them.
+	items   []*item
+	touched int
 	// unfinished counts the items that have not ended.
 	unfinished int
 	// waiting counts the items that wait for a run.
@@ -187,12 +190,6 @@
 	for i := range j.record.Steps {
 		spec := &j.record.Steps[i]
 		s := &step{spec: spec, job: j, occurrence: o, index: i, unfinished: spec.Count, waiting: spec.Count}
-		all := make([]item, spec.Count)
-		s.items = make([]*item, spec.Count)
-		for n := range all {
-			all[n] = item{id: work.ItemID{Job: j.record.ID, Occurrence: index, Step: i, Index: n}, step: s}
-			s.items[n] = &all[n]
-		}
 		o.steps = append(o.steps, s)
 		o.unfinished += spec.Count
 	}
@@ -200,16 +197,58 @@
 	return o
 }
 
+// item returns the item with the index.
+func (s *step) item(index int) *item {
+	if s.items == nil {
+		s.items = make([]*item, s.spec.Count)
+	}
+	if s.items[index] == nil {
+		s.items[index] = &item{id: work.ItemID{Job: s.job.record.ID, Occurrence: s.occurrence.index, Step: s.index, Index: index}, step: s}
+		s.touched++
+	}
+	return s.items[index]
+}
+
+// peek returns the item with the index, nil if it has not been needed so far.
+func (s *step) peek(index int) *item {
+	if s.items == nil {
+		return nil
+	}
+	return s.items[index]
+}
+
+// known yields the items that have been needed so far. The others wait and have never had a run.
+func (s *step) known() iter.Seq[*item] {
+	return func(yield func(*item) bool) {
+		for _, it := range s.items {
+			if it != nil && !yield(it) {
+				return
+			}
+		}
+	}
+}
+
+// all yields all items.
+func (s *step) all() iter.Seq[*item] {
+	return func(yield func(*item) bool) {
+		for n := range s.spec.Count {
+			if !yield(s.item(n)) {
+				return
+			}
+		}
+	}
+}
+
 // find returns the item, or nil if its occurrence has not been added.
 func (j *job) find(id work.ItemID) *item {
 	for _, o := range j.occurrences {
 		if o.index != id.Occurrence {
 			continue
 		}
-		if id.Step >= len(o.steps) || id.Index >= len(o.steps[id.Step].items) {
+		if id.Step >= len(o.steps) || id.Index >= o.steps[id.Step].spec.Count {
 			return nil
 		}
-		return o.steps[id.Step].items[id.Index]
+		return o.steps[id.Step].item(id.Index)
 	}
 	return nil
 }
--- a/sched/learned.go
+++ b/sched/learned.go
@@ -148,7 +148,7 @@
 			continue
 		}
 		rest := paths[s.index] - e.Median
-		for _, it := range s.items {
+		for it := range s.known() {
 			if it.state == itemOrdered && it.orderedAt > 0 {
 				latest = max(latest, now+time.Duration((runningMs(e, it, now)+rest)*float64(time.Millisecond)))
 			}
--- a/sched/learned_test.go
+++ b/sched/learned_test.go
@@ -212,7 +212,7 @@
 	const now = 2 * time.Second
 	table.UpsertTarget(work.Target{ID: "u", Pool: "p", Address: "b", Capacity: work.Resources{CPU: 16000, MemMB: 1 << 20}}, now)
 	table.Accept(learnedJob(1, 1), now)
-	it := table.activeJobs[0].occurrences[0].steps[0].items[0]
+	it := table.activeJobs[0].occurrences[0].steps[0].item(0)
 	ending, staying := table.targets["t"], table.targets["u"]
 	ending.busyUntil, staying.busyUntil = now+100*time.Millisecond, now+5*time.Second
 	is.True(table.score(it, staying, now) > table.score(it, ending, now))
--- a/sched/limit_test.go
+++ b/sched/limit_test.go
@@ -19,7 +19,7 @@
 	record := &work.Job{ID: "00000000000000a1", Queue: "q", Pool: "p", Steps: []work.Step{{Count: items, Checkpointing: true}}}
 	t.Accept(record, 0)
 	j := t.jobs[record.ID]
-	for _, it := range j.occurrences[0].steps[0].items {
+	for it := range j.occurrences[0].steps[0].all() {
 		it.run, it.state, it.target, it.checkpoint = 1, itemOrdered, t.targets[id], strings.Repeat("c", checkpointBytes)
 	}
 	return t, j
@@ -43,7 +43,7 @@
 func TestProgressThatExceedsARecordIsStoredWithoutCheckpoints(t *testing.T) {
 	is := is.New(t)
 	table, j := newLimitTest("i-0123456789", 10, 500)
-	j.occurrences[0].steps[0].items[3].checkpoint += "c"
+	j.occurrences[0].steps[0].item(3).checkpoint += "c"
 	encode := func(limit int) []Entry {
 		table.recordLimit = limit
 		entries, err := table.encodeProgress(j)
@@ -76,7 +76,7 @@
 		table, j := newLimitTest(name, 1+r.Intn(work.MaxItems), r.Intn(40))
 		table.recordLimit = limits[n%len(limits)]
 		j.state, j.endedMs = work.Running, 1<<62
-		items := j.occurrences[0].steps[0].items
+		items := slices.Collect(j.occurrences[0].steps[0].all())
 		for _, it := range items {
 			it.run, it.failures, it.incarnation = 1<<r.Intn(62), 1<<r.Intn(62), 1<<62
 			it.crashes.Prompt, it.crashes.Explained, it.suspect, it.onTrial = 1<<r.Intn(61), 1<<r.Intn(61), true, true
@@ -134,7 +134,7 @@
 	id := string(j.record.ID)
 	written, _ := keys()
 	is.Equal(written, []string{"part/" + id + "/1", "part/" + id + "/2", id}) // its own record comes last
-	items := j.occurrences[0].steps[0].items
+	items := slices.Collect(j.occurrences[0].steps[0].all())
 	items[maxSectionItems].run++
 	written, _ = keys()
 	is.Equal(written, []string{"part/" + id + "/1", id})
@@ -162,7 +162,7 @@
 	is.NoErr(err)
 	batches := [][]Entry{{{Key: string(j.record.ID), Value: value}}}
 	for run := 2; run < 4; run++ {
-		for _, it := range j.occurrences[0].steps[0].items {
+		for it := range j.occurrences[0].steps[0].all() {
 			it.run = run
 		}
 		entries, err := table.encodeProgress(j)
--- a/sched/load.go
+++ b/sched/load.go
@@ -85,7 +85,7 @@
 	}
 	for _, o := range j.occurrences {
 		for _, s := range o.steps {
-			if s.spec.Gang && s.unfinished > 0 && s.unfinished < len(s.items) {
+			if s.spec.Gang && s.unfinished > 0 && s.unfinished < s.spec.Count {
 				t.completeGang(s, now)
 				t.markDirty(j)
 			}
--- a/sched/modelloss_test.go
+++ b/sched/modelloss_test.go
@@ -100,7 +100,7 @@
 	for _, j := range h.table.jobs {
 		for _, o := range j.occurrences {
 			for _, s := range o.steps {
-				for _, it := range s.items {
+				for it := range s.known() {
 					n += it.run
 				}
 			}
@@ -130,8 +130,8 @@
 }
 
 func (h *modelHolder) hasRoomFor(s *step) bool {
-	waits := false
-	for _, it := range s.items {
+	waits := s.touched < s.spec.Count
+	for it := range s.known() {
 		waits = waits || (it.state == itemWaiting && h.now >= it.notBefore && !it.checkDelayedStart(h.now))
 	}
 	if !waits {
--- a/sched/place.go
+++ b/sched/place.go
@@ -120,7 +120,7 @@
 }
 
 func rackHasItems(s *step, tgt *target) bool {
-	for _, it := range s.items {
+	for it := range s.known() {
 		if it.target != nil && it.target.rack == tgt.rack {
 			return true
 		}
--- a/sched/plan.go
+++ b/sched/plan.go
@@ -89,7 +89,7 @@
 func (t *Table) hasRuns(j *job) bool {
 	for _, o := range j.occurrences {
 		for _, s := range o.steps {
-			for _, it := range s.items {
+			for it := range s.known() {
 				if it.state == itemOrdered {
 					return true
 				}
@@ -237,16 +237,18 @@
 	s.noRoom = false
 	placed := 0
 	var first, last *target
-	for _, it := range s.items {
-		if it.state != itemWaiting || now < it.notBefore || it.checkDelayedStart(now) {
+	for n := range s.spec.Count {
+		it := s.peek(n)
+		if it != nil && (it.state != itemWaiting || now < it.notBefore || it.checkDelayedStart(now)) {
 			continue
 		}
-		if poolTried && !it.suspect {
+		if poolTried && (it == nil || !it.suspect) {
 			continue
 		}
 		if !t.withinTeamCap(s, 1) {
 			break
 		}
+		it = s.item(n)
 		tgt := t.pickTargetOrTrial(it, now)
 		if tgt == nil {
 			if s.needsAdvice() {
@@ -329,11 +331,11 @@
 
 // placeGang starts all items of a gang at once or none. They all get one run number, the highest of any of them, because they run and end together, and one checkpoint, so that they continue from the same state.
 func (t *Table) placeGang(s *step, now time.Duration) {
-	if s.waiting < len(s.items) || !t.withinTeamCap(s, len(s.items)) {
+	if s.waiting < s.spec.Count || !t.withinTeamCap(s, s.spec.Count) {
 		return
 	}
 	run, checkpoint := 0, ""
-	for _, it := range s.items {
+	for it := range s.all() {
 		if now < it.notBefore || it.checkDelayedStart(now) {
 			return
 		}
@@ -343,7 +345,7 @@
 		}
 	}
 	var chosen []*item
-	for _, it := range s.items {
+	for it := range s.all() {
 		tgt := t.pickTargetOrTrial(it, now)
 		if tgt == nil {
 			t.releaseAll(chosen)
--- a/sched/refused.go
+++ b/sched/refused.go
@@ -129,7 +129,7 @@
 		}
 		for _, o := range j.occurrences {
 			for _, s := range o.steps {
-				for _, it := range s.items {
+				for it := range s.known() {
 					tgt := it.endedOn
 					if tgt == nil || it.endIncarnation != tgt.incarnation || it.endNumber <= tgt.lastRecordedEnd {
 						continue
--- a/sched/renew.go
+++ b/sched/renew.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"lavenderwing.example/lavenderwing/work"
@@ -112,7 +113,7 @@
 	t.logEvent("withdrawn", it.id.String(), string(it.target.ID), cause)
 	withdrawn := []*item{it}
 	if it.step.spec.Gang {
-		withdrawn = it.step.items
+		withdrawn = slices.Collect(it.step.known())
 	}
 	for _, other := range withdrawn {
 		switch {
--- a/sched/sections.go
+++ b/sched/sections.go
@@ -138,7 +138,7 @@
 		position := o.index * perOccurrence
 		for _, s := range o.steps {
 			for n, it := range s.items {
-				if it.run == 0 || (final && it.target == nil) {
+				if it == nil || it.run == 0 || (final && it.target == nil) {
 					continue
 				}
 				section := (position + n) / sectionSize
@@ -151,7 +151,7 @@
 				}
 				rest[section-1] = append(rest[section-1], it.progress())
 			}
-			position += len(s.items)
+			position += s.spec.Count
 		}
 	}
 	return p, rest
--- a/sched/table.go
+++ b/sched/table.go
@@ -354,7 +354,7 @@
 func (t *Table) stopRuns(j *job, keep func(*item) bool, now time.Duration) {
 	for _, o := range j.occurrences {
 		for _, s := range o.steps {
-			for _, it := range s.items {
+			for it := range s.known() {
 				if it.state == itemOrdered && !keep(it) {
 					t.orderStop(it, now)
 				}
--- a/sched/trial.go
+++ b/sched/trial.go
@@ -310,7 +310,7 @@
 			if s.waiting == 0 || !t.mayStartAny(s) {
 				continue
 			}
-			for _, it := range s.items {
+			for it := range s.known() {
 				if it.suspect && it.state == itemWaiting && now >= it.notBefore && !it.checkDelayedStart(now) {
 					least, found = min(least, it.seenBeforeCrash), true
 				}
@@ -323,7 +323,7 @@
 // mayStartAny reports whether the step's dependencies, its gang and its team's cap allow the start of an item.
 func (t *Table) mayStartAny(s *step) bool {
 	if s.spec.Gang {
-		return s.waiting == len(s.items) && t.withinTeamCap(s, len(s.items)) && s.dependenciesDone()
+		return s.waiting == s.spec.Count && t.withinTeamCap(s, s.spec.Count) && s.dependenciesDone()
 	}
 	return t.withinTeamCap(s, 1) && s.dependenciesDone()
 }
--- a/sched/zones.go
+++ b/sched/zones.go
@@ -214,7 +214,7 @@
 				if !s.spec.Serving || s.unfinished == 0 || !s.dependenciesDone() {
 					continue
 				}
-				for _, it := range s.items {
+				for it := range s.all() {
 					if it.state == itemWaiting || (it.state == itemOrdered && it.stopping) {
 						list = append(list, it)
 					}
