--- a/sched/contention_test.go
+++ b/sched/contention_test.go
@@ -323,6 +323,7 @@
 
 // TestFullPoolServesMoreCallersInTime guards against a full pool that spreads its room over jobs that all come too late, or that refuses callers whom it could have served. Over all loads, more callers are served in time, and not fewer while their results are of use, than without admission and order by room; the same holds for each load that asks for more than the pool has. No team that sends no more than its usual load is worse off. Learned run times, which order a full pool too, are off in both runs.
 func TestFullPoolServesMoreCallersInTime(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	off := work.Features{}.WithDisabled(work.Preemption).WithDisabled(work.LearnedTimes)
 	var with, without contentionTotals
@@ -354,6 +355,7 @@
 
 // TestPreemptionServesUrgentCallersInTime guards against urgent callers who wait behind long items of low priority, and against stops that cost more than they bring: with long items, more urgent callers are served in time than without stops; over all loads, not fewer callers, also of the teams that send no more than their usual load.
 func TestPreemptionServesUrgentCallersInTime(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	var with, without contentionTotals
 	for _, load := range append([]contentionLoad{longItems}, contentionLoads...) {
--- a/sched/model_test.go
+++ b/sched/model_test.go
@@ -22,16 +22,19 @@
 // TestModel runs random histories on a virtual clock: delayed orders and lost answers, crashes and partitions of targets, and takeovers during which the former holder may still be active.
 // It guards against two active runs of an item, a start after an acknowledged end, a target beyond its capacity, a step that starts before those it depends on have ended, and jobs that are never completed.
 func TestModel(t *testing.T) {
+	t.Parallel()
 	runModels(t, modelSeeds, func(*model) {}, func(*model) {})
 }
 
 // TestItemsWhoseEndsAreNotListedYetRunOnce guards against items that run twice because a reply lists a limited number of ends, and runs that are in neither list count as lost.
 func TestItemsWhoseEndsAreNotListedYetRunOnce(t *testing.T) {
+	t.Parallel()
 	runModels(t, modelSeeds, func(m *model) { m.maxListedEnds = 1 }, func(*model) {})
 }
 
 // TestJobsWithDividedProgressRunOnce guards against items that run twice, and jobs that never end, because a holder has ended before it had written all records of a job whose progress is divided.
 func TestJobsWithDividedProgressRunOnce(t *testing.T) {
+	t.Parallel()
 	limit := headBytes + maxItemBytes
 	runModels(t, modelSeeds, func(m *model) { m.recordLimit = limit }, func(*model) {})
 	runModels(t, modelSeeds, func(m *model) { m.recordLimit, m.retention = limit, newModelRetention() }, func(*model) {})
--- a/sched/modelcapacity_test.go
+++ b/sched/modelcapacity_test.go
@@ -31,6 +31,7 @@
 
 // TestShrunkCapacityIsNotExceeded guards against starts on a target that has shrunk since they were planned, because the store took long to record them or the target did not answer.
 func TestShrunkCapacityIsNotExceeded(t *testing.T) {
+	t.Parallel()
 	runModels(t, capacityModelSeeds, func(m *model) { m.capacity.enabled = true }, func(*model) {})
 }
 
--- a/sched/modelcrash_test.go
+++ b/sched/modelcrash_test.go
@@ -39,6 +39,7 @@
 
 // TestDeadlyItemIsGivenUpAndItsNeighboursAreNot guards against an item that crashes one target after the other, because a run that is lost with its target counts for nothing, and against giving up the work beside it.
 func TestDeadlyItemIsGivenUpAndItsNeighboursAreNot(t *testing.T) {
+	t.Parallel()
 	crashes := 0
 	runModels(t, deadlyModelSeeds, func(m *model) { m.crashes.enabled = true }, func(m *model) {
 		for _, times := range m.crashes.crashed {
--- a/sched/modelevict_test.go
+++ b/sched/modelevict_test.go
@@ -39,6 +39,7 @@
 
 // TestEvictedItemsRunOnce guards against items that run twice, are lost or start beyond a target's capacity because a stop for urgent work meets a crash, a cut or a takeover.
 func TestEvictedItemsRunOnce(t *testing.T) {
+	t.Parallel()
 	evictions := 0
 	runModels(t, evictModelSeeds, func(m *model) {
 		m.urgent.enabled = true
--- a/sched/modelloss_test.go
+++ b/sched/modelloss_test.go
@@ -28,6 +28,7 @@
 
 // TestWaitingWorkStartsAfterLosses guards against a queue that stands still beside targets with room, because the targets that are left of a pool after losses stay reserved for trials.
 func TestWaitingWorkStartsAfterLosses(t *testing.T) {
+	t.Parallel()
 	for _, v := range []struct {
 		name   string
 		losses modelLosses
--- a/sched/modelretain_test.go
+++ b/sched/modelretain_test.go
@@ -116,6 +116,7 @@
 
 // TestRemovedJobsAreNotStartedAgain guards against ended jobs that run again, accepted jobs that are lost, and submissions that are answered for a job that is not stored, because a holder removes jobs while others take over, submissions are repeated and orders are late.
 func TestRemovedJobsAreNotStartedAgain(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	removed, takeovers, refusals := 0, 0, 0
 	runModels(t, modelSeeds, func(m *model) { m.retention = newModelRetention() }, func(m *model) {
--- a/sched/peaks_test.go
+++ b/sched/peaks_test.go
@@ -318,6 +318,7 @@
 
 // TestPoolsFollowPeaks guards against a sizing of pools by remembered peaks that costs callers or hosts: on turns of demand that recur, stop, shift or double, as well as on other loads, no more jobs may be late and no more may be spent on hosts and moves than by the present arrivals alone, and far fewer jobs may be late where turns recur.
 func TestPoolsFollowPeaks(t *testing.T) {
+	t.Parallel()
 	disabled := work.Features{}.WithDisabled(work.PeakForecast)
 	for _, l := range loads {
 		t.Run(l.name, func(t *testing.T) {
