Bound the connections of bursts of orders over all targets

Cause: the bound of 512 counted orders under way, and connections stayed open for two seconds after them. On 1,100 targets they could exceed a small process's descriptors, and a driver whose target was silent could keep others from theirs.

Change: a driver reserves connections, 192 over all targets, and closes them and gives them back as soon as none is in use. A removal whose record the store refuses no longer ends the epoch.

Evidence: TestBurstConnectionsAreGivenBack, with a target that answers and a silent one.

--- a/agent/driver.go
+++ b/agent/driver.go
@@ -54,6 +54,8 @@
 
 	mu     sync.Mutex
 	orders *outbox.Queue
+	// bursts is how many of the holder's burst connections the driver has reserved.
+	bursts int
 	// ordersChanged wakes sendLoop when orders were queued or one has ended.
 	ordersChanged chan struct{}
 }
@@ -246,7 +248,7 @@
 		}
 		now := h.agent.clock.Now()
 		d.mu.Lock()
-		s, ok := d.orders.Next(now, h.reserveBurst)
+		s, ok := d.orders.Next(now, d.reserveBurst)
 		if !ok {
 			next, waits := d.orders.NextRetry(now)
 			d.mu.Unlock()
@@ -264,7 +266,6 @@
 	client := d.client
 	if s.Extra {
 		client = d.burst
-		defer h.releaseBurst()
 	}
 	defer signal(d.ordersChanged)
 	began := h.agent.clock.Now()
@@ -283,6 +284,31 @@
 	default:
 		d.orders.Dropped(s)
 	}
+	if d.orders.Extra() == 0 {
+		d.endBurst()
+	}
+}
+
+// reserveBurst reserves a connection for one more order at the same time, and reports whether there is one left; the caller holds the lock.
+func (d *driver) reserveBurst() bool {
+	if d.orders.Extra() < d.bursts {
+		return true
+	}
+	if !d.holder.reserveBurst() {
+		return false
+	}
+	d.bursts++
+	return true
+}
+
+// endBurst closes the burst connections, none of which is in use, and leaves them to other drivers; the caller holds the lock.
+func (d *driver) endBurst() {
+	if d.bursts == 0 {
+		return
+	}
+	d.burst.Close()
+	d.holder.releaseBursts(d.bursts)
+	d.bursts = 0
 }
 
 // startRun orders a run. An attempt that stays unanswered may still be delivered to a later incarnation of the target.
--- a/agent/driver_test.go
+++ b/agent/driver_test.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"net"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -39,6 +40,15 @@
 	is.True(d.lossyUntil.Load() > 0) // renewals poll shortly for a while
 }
 
+// newHolderWithTarget returns a holder that knows the target i-1, which has answered its first renewal.
+func newHolderWithTarget(t *testing.T, address string) *Holder {
+	_, h := newTestAgent(t)
+	h.table.Configure(&work.Config{Version: 1, Queues: []work.Queue{{Name: "q", Pool: "p"}}, Pools: []work.Pool{{Name: "p"}}})
+	h.table.UpsertTarget(work.Target{ID: "i-1", Pool: "p", Address: address, Capacity: work.Resources{CPU: 1000, MemMB: 100}, StartedMs: 2}, time.Second)
+	h.table.RenewalAnswered("i-1", work.RenewalReply{ClockMs: 1000, StartedMs: 2}, 0, time.Second, time.Second)
+	return h
+}
+
 // slowTarget answers the orders to a target each after a while, and keeps starts without an answer until it is closed. It counts the stops and how many of them it has had at the same time.
 type slowTarget struct {
 	answerTime   time.Duration
@@ -75,10 +85,7 @@
 	defer close(target.closed)
 	address := fake.LoopbackAddresses(1)[0]
 	startServer(t, is, address, target.serve)
-	_, h := newTestAgent(t)
-	h.table.Configure(&work.Config{Version: 1, Queues: []work.Queue{{Name: "q", Pool: "p"}}, Pools: []work.Pool{{Name: "p"}}})
-	h.table.UpsertTarget(work.Target{ID: "i-1", Pool: "p", Address: address, Capacity: work.Resources{CPU: 1000, MemMB: 100}, StartedMs: 2}, time.Second)
-	h.table.RenewalAnswered("i-1", work.RenewalReply{ClockMs: 1000, StartedMs: 2}, 0, time.Second, time.Second)
+	h := newHolderWithTarget(t, address)
 	h.table.Accept(&work.Job{ID: "0000000000000001", Queue: "q", Steps: []work.Step{{Count: 1, Demand: work.Resources{CPU: 1, MemMB: 1}}}}, time.Second)
 	h.table.Plan(time.Second)
 	b, err := h.table.Flush(time.Second)
@@ -106,6 +113,59 @@
 	is.True(target.most <= outbox.MaxExtra+1) // but no more than the target takes
 }
 
+// TestBurstConnectionsAreGivenBack guards against targets that hold up the orders to others, and a process without descriptors, because a driver keeps the connections of a burst of orders: after it, and while its target does not answer.
+func TestBurstConnectionsAreGivenBack(t *testing.T) {
+	for name, answers := range map[string]bool{"answers": true, "silent": false} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var open, stops atomic.Int64
+			lost := make(chan struct{})
+			address := fake.LoopbackAddresses(1)[0]
+			server := &fasthttp.Server{
+				Handler: func(ctx *fasthttp.RequestCtx) {
+					stops.Add(1)
+					if !answers {
+						<-lost
+						return
+					}
+					time.Sleep(10 * time.Millisecond)
+					ctx.SetBodyString(`{"clock_ms":5}`)
+				},
+				ConnState: func(_ net.Conn, state fasthttp.ConnState) {
+					switch state {
+					case fasthttp.StateNew:
+						open.Add(1)
+					case fasthttp.StateClosed:
+						open.Add(-1)
+					}
+				},
+			}
+			l, err := net.Listen("tcp4", address)
+			is.NoErr(err)
+			go func() { _ = server.Serve(l) }()
+			t.Cleanup(func() { _ = l.Close() })
+			defer close(lost)
+			h := newHolderWithTarget(t, address)
+			d := newDriver(h, "i-1", address)
+			go d.sendLoop()
+			defer d.close()
+			const count = 200
+			for n := range count {
+				d.enqueue(sched.StopOrder{Target: "i-1", Item: work.ItemID{Job: "0000000000000002", Index: n}, Run: 1})
+			}
+			for answers && stops.Load() < count {
+				time.Sleep(time.Millisecond)
+			}
+			for !answers && stops.Load() < 30 {
+				time.Sleep(time.Millisecond)
+			}
+			for len(h.bursts) > 0 || (answers && open.Load() > 3) {
+				time.Sleep(time.Millisecond)
+			}
+		})
+	}
+}
+
 // TestReplyFromAFormerAddressDoesNotEndTheTarget guards against runs that are started elsewhere while they go on, because the process that has the target's former address answers a call that was meant for it.
 func TestReplyFromAFormerAddressDoesNotEndTheTarget(t *testing.T) {
 	is := is.New(t)
@@ -153,10 +213,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			_, h := newTestAgent(t)
-			h.table.Configure(&work.Config{Version: 1, Queues: []work.Queue{{Name: "q", Pool: "p"}}, Pools: []work.Pool{{Name: "p"}}})
-			h.table.UpsertTarget(work.Target{ID: "i-1", Pool: "p", Address: "a", Capacity: work.Resources{CPU: 1000, MemMB: 100}, StartedMs: 2}, time.Second)
-			h.table.RenewalAnswered("i-1", work.RenewalReply{ClockMs: 1000, StartedMs: 2}, 0, time.Second, time.Second)
+			h := newHolderWithTarget(t, "a")
 			h.table.Accept(&work.Job{ID: "0000000000000001", Queue: "q", Steps: []work.Step{{Count: 1, Demand: work.Resources{CPU: 1, MemMB: 1}}}}, time.Second)
 			h.table.Plan(time.Second)
 			is.Equal(h.table.CountBusyTargets(), 1)
--- a/agent/holder.go
+++ b/agent/holder.go
@@ -58,7 +58,7 @@
 	cancel   context.CancelCauseFunc
 	ctx      context.Context
 	wake     chan struct{}
-	// bursts holds an element for each order that is under way beside the first of its class at its target.
+	// bursts holds an element for each connection that a driver has reserved for orders beside the first of their class.
 	bursts chan struct{}
 	// renewPause is the pause between a target's reply to a renewal and its next renewal, in nanoseconds.
 	renewPause atomic.Int64
@@ -78,10 +78,10 @@
 	directOffsets [directPartitions]int64
 }
 
-// maxBursts bounds the orders to all targets that are under way beside the first of their class at each, an eighth of the process's descriptors.
-const maxBursts = 512
+// maxBursts bounds the connections to all targets for orders beside the first of their class. With 1,100 targets and three connections to each, they fit the 3,900 descriptors of a small process also if each order is repeated twice.
+const maxBursts = 192
 
-// reserveBurst reserves the connection of one more order to a target, and reports whether there is one left.
+// reserveBurst reserves a connection for one more order to a target, and reports whether there is one left.
 func (h *Holder) reserveBurst() bool {
 	select {
 	case h.bursts <- struct{}{}:
@@ -91,7 +91,12 @@
 	}
 }
 
-func (h *Holder) releaseBurst() { <-h.bursts }
+// releaseBursts leaves reserved connections to other drivers.
+func (h *Holder) releaseBursts(n int) {
+	for range n {
+		<-h.bursts
+	}
+}
 
 // DeposedError is the cause of an epoch's end if another process became the holder, or if this one resigned or is stopping.
 type DeposedError struct {
--- a/agent/retain.go
+++ b/agent/retain.go
@@ -93,8 +93,11 @@
 		if len(records) == 0 {
 			continue
 		}
-		if _, err := h.directRemovers[n].append(h.ctx, records); err != nil {
+		_, err := h.directRemovers[n].append(h.ctx, records)
+		if _, ok := refusedKeys(err); !ok {
 			h.cancel(err)
+		}
+		if err != nil {
 			return err
 		}
 	}
--- a/outbox/queue.go
+++ b/outbox/queue.go
@@ -232,5 +232,8 @@
 	return next, found
 }
 
+// Extra returns how many orders are under way beside the first of each class.
+func (q *Queue) Extra() int { return q.extra }
+
 // Len returns the number of orders that wait.
 func (q *Queue) Len() int { return len(q.queued[stops]) + len(q.queued[others]) }
