Bound the writes of calls to peers

Cause: a call's timeout begins once the call is written. A large submission to a holder that stands still fills the connection, and the heartbeats behind it wait for the end of that write for ever, so that the process does not notice that the holder is gone.

Change: a write fails after a second, which ends the connection and with it all calls on it.

Evidence: TestPeerThatDoesNotReadBlocksNoCalls did not return within 20 s before and passes.

--- a/peer/server.go
+++ b/peer/server.go
@@ -5,6 +5,7 @@
 	"net/rpc"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/gravitational/trace"
 
@@ -84,7 +85,10 @@
 	}
 }
 
-// countingConn counts the bytes that are read and written.
+// writeTimeout bounds a write, which waits while the other side does not read. The largest message takes less on a link of 2 Mbit/s.
+const writeTimeout = time.Second
+
+// countingConn counts the bytes that are read and written, and fails if the other side does not read.
 type countingConn struct {
 	net.Conn
 	bytes *atomic.Int64
@@ -99,6 +103,9 @@
 
 // Write implements net.Conn.
 func (c *countingConn) Write(p []byte) (int, error) {
+	if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return 0, err
+	}
 	n, err := c.Conn.Write(p)
 	c.bytes.Add(int64(n))
 	return n, err
