Send starts one after the other, and renewals over connections of their own

Change: only stops are sent beside each other. An order is sent by the goroutine that sent the one before, not by a new one that is woken for it. Renewals have connections of their own.

--- a/agent/driver.go
+++ b/agent/driver.go
@@ -41,8 +41,10 @@
 	holder  *Holder
 	id      work.TargetID
 	address string
-	client  *platform.TargetClient
-	// burst is for orders beside the first of their class.
+	// client is for the first order of each class, and renewals is for renewals, which no order delays.
+	client   *platform.TargetClient
+	renewals *platform.TargetClient
+	// burst is for stops beside the first one.
 	burst     *platform.TargetClient
 	done      chan struct{}
 	closeOnce sync.Once
@@ -56,26 +58,24 @@
 	orders *outbox.Queue
 	// bursts is how many of the holder's burst connections the driver has reserved.
 	bursts int
-	// ordersChanged wakes sendLoop when orders were queued or one has ended.
-	ordersChanged chan struct{}
+	// retryAt is when the queue is looked at again for orders to be repeated, 0 if it is not.
+	retryAt time.Duration
 }
 
 func newDriver(h *Holder, id work.TargetID, address string) *driver {
 	return &driver{
-		holder: h, id: id, address: address, client: platform.NewTargetClient(id, address), burst: platform.NewBurstClient(id, address),
-		done: make(chan struct{}), renewNow: make(chan struct{}, 1), orders: outbox.New(), ordersChanged: make(chan struct{}, 1),
+		holder: h, id: id, address: address, client: platform.NewTargetClient(id, address), renewals: platform.NewTargetClient(id, address), burst: platform.NewBurstClient(id, address),
+		done: make(chan struct{}), renewNow: make(chan struct{}, 1), orders: outbox.New(),
 	}
 }
 
-func (d *driver) start() {
-	go d.renewLoop()
-	go d.sendLoop()
-}
+func (d *driver) start() { go d.renewLoop() }
 
 func (d *driver) close() {
 	d.closeOnce.Do(func() {
 		close(d.done)
 		d.client.Close()
+		d.renewals.Close()
 		d.burst.Close()
 	})
 }
@@ -85,7 +85,7 @@
 	d.mu.Lock()
 	d.orders.Push(o, d.holder.agent.clock.Now())
 	d.mu.Unlock()
-	signal(d.ordersChanged)
+	d.sendQueued()
 	signal(d.renewNow)
 }
 
@@ -141,7 +141,7 @@
 		case r.ShortPoll || now < time.Duration(d.lossyUntil.Load()):
 			poll = shortRenewPoll
 		}
-		reply, err := d.client.RenewLease(r.LeaseExpiryMs, h.table.Token(), r.AcknowledgedEnd, poll, poll+orderTimeout)
+		reply, err := d.renewals.RenewLease(r.LeaseExpiryMs, h.table.Token(), r.AcknowledgedEnd, poll, poll+orderTimeout)
 		h.agent.meters.renewals.Inc(1)
 		if !d.applyRenewal(&r, reply, err, now) {
 			return
@@ -219,45 +219,56 @@
 	return true
 }
 
-// sendLoop sends the queued orders as package outbox says.
-func (d *driver) sendLoop() {
-	retry := newEarliestTimer()
-	defer retry.stop()
+// sendQueued begins to send the orders that may be sent now.
+func (d *driver) sendQueued() {
 	for {
-		if wait, waits := d.sendQueued(); waits {
-			retry.set(wait)
-		}
-		select {
-		case <-d.done:
+		s, ok := d.nextOrder()
+		if !ok {
 			return
-		case <-d.ordersChanged:
-		case <-retry.C():
-			retry.markFired()
 		}
+		go d.sendOrders(s)
 	}
 }
 
-// sendQueued begins to send the orders that may be sent now, and returns how long the next one waits for its repetition, if any does.
-func (d *driver) sendQueued() (time.Duration, bool) {
-	h := d.holder
-	for {
-		select {
-		case <-d.done:
-			return 0, false
-		default:
+// sendOrders sends an order and those that may be sent once it has ended.
+func (d *driver) sendOrders(s outbox.Sending) {
+	for ok := true; ok; {
+		d.send(s)
+		if s, ok = d.nextOrder(); ok {
+			d.sendQueued()
 		}
-		now := h.agent.clock.Now()
-		d.mu.Lock()
-		s, ok := d.orders.Next(now, d.reserveBurst)
-		if !ok {
-			next, waits := d.orders.NextRetry(now)
-			d.mu.Unlock()
-			return next - now, waits
-		}
-		d.mu.Unlock()
+	}
+}
+
+// nextOrder returns the next order that may be sent now, if there is one. Otherwise it has the queue looked at again when an order is to be repeated.
+func (d *driver) nextOrder() (outbox.Sending, bool) {
+	h := d.holder
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	select {
+	case <-d.done:
+		return outbox.Sending{}, false
+	default:
+	}
+	now := h.agent.clock.Now()
+	s, ok := d.orders.Next(now, d.reserveBurst)
+	if ok {
 		h.agent.meters.orderWait.RecordDuration(s.Waited)
-		go d.send(s)
+		return s, true
+	}
+	if next, waits := d.orders.NextRetry(now); waits && (d.retryAt == 0 || next < d.retryAt) {
+		d.retryAt = next
+		time.AfterFunc(next-now, d.retry)
 	}
+	return s, false
+}
+
+// retry sends the orders whose repetition is due.
+func (d *driver) retry() {
+	d.mu.Lock()
+	d.retryAt = 0
+	d.mu.Unlock()
+	d.sendQueued()
 }
 
 // send sends one order and queues it again if it gets no valid reply.
@@ -267,7 +278,6 @@
 	if s.Extra {
 		client = d.burst
 	}
-	defer signal(d.ordersChanged)
 	began := h.agent.clock.Now()
 	sent, needed, err := d.sendOrder(s.Order, client)
 	took := h.agent.clock.Now() - began
--- a/agent/driver_test.go
+++ b/agent/driver_test.go
@@ -94,7 +94,6 @@
 	is.NoErr(err)
 	h.table.Flushed(b)
 	d := newDriver(h, "i-1", address)
-	go d.sendLoop()
 	defer d.close()
 	for _, o := range b.Orders {
 		d.enqueue(o)
@@ -149,7 +148,6 @@
 			defer close(lost)
 			h := newHolderWithTarget(t, address)
 			d := newDriver(h, "i-1", address)
-			go d.sendLoop()
 			defer d.close()
 			const count = 200
 			for n := range count {
--- a/outbox/queue.go
+++ b/outbox/queue.go
@@ -9,9 +9,9 @@
 )
 
 const (
-	// sendTime is the time within which the queued orders of a class should all have been sent. More of them are sent at once for that, the more there are and the longer the target takes for each.
+	// sendTime is the time within which the queued stops should all have been sent. More of them are sent at once for that, the more there are and the longer the target takes for each.
 	sendTime = 100 * time.Millisecond
-	// MaxExtra bounds the orders to one target that are sent at once beside the first of each class. With their repetitions and the renewals of the lease they stay below the 64 connections that a target takes.
+	// MaxExtra bounds the stops to one target that are sent at once beside the first one. With their repetitions and the renewals of the lease they stay below the 64 connections that a target takes.
 	MaxExtra = 40
 	// retryPause is the pause after an order without a valid reply, before it is sent again.
 	retryPause = 150 * time.Millisecond
@@ -44,7 +44,7 @@
 	notBefore time.Duration
 }
 
-// Queue holds the orders for one target. Stops and other orders do not wait for each other, and the more orders wait, the more are sent at once. Of the orders for one item only one is under way at a time, and its stops go first. A Queue is not safe for concurrent use.
+// Queue holds the orders for one target. Stops and other orders do not wait for each other, and the more stops wait, the more are sent at once; the others are sent one after the other, because starts at once cost a busy holder more than they gain. Of the orders for one item only one is under way at a time, and its stops go first. A Queue is not safe for concurrent use.
 type Queue struct {
 	queued [classes][]entry
 	// stopsKnown holds the stops that wait or are under way; stopsOf and startsOf count the waiting ones of each item.
@@ -120,7 +120,7 @@
 	}
 }
 
-// Next returns the next order to send, if one may be sent now. For an order that is not the first of its class it asks grow, which may refuse.
+// Next returns the next order to send, if one may be sent now. For a stop that is not the first one it asks grow, which may refuse.
 func (q *Queue) Next(now time.Duration, grow func() bool) (Sending, bool) {
 	for c := range classes {
 		if q.firstBusy[c] && !q.wantsMore(c) {
@@ -135,9 +135,9 @@
 	return Sending{}, false
 }
 
-// wantsMore reports whether the class has so many orders that one more should be sent at once.
+// wantsMore reports whether there are so many stops that one more should be sent at once.
 func (q *Queue) wantsMore(c class) bool {
-	if q.extra >= MaxExtra || q.unanswered >= silentAfter {
+	if c != stops || q.extra >= MaxExtra || q.unanswered >= silentAfter {
 		return false
 	}
 	return time.Duration(len(q.queued[c])+q.sending[c])*q.callTime > time.Duration(q.sending[c])*sendTime
